--- /dev/null
+++ b/arbutuschute/__init__.py
@@ -0,0 +1,1 @@
+"""arbutuschute: a model-aware router for versions and cascades."""
--- /dev/null
+++ b/arbutuschute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands: arguments, help and what a person reads."""
--- /dev/null
+++ b/arbutuschute/cli/definition.py
@@ -0,0 +1,381 @@
+"""Arguments and help of the ``arbutuschute`` command, in one place."""
+
+import asyncio
+
+import aiohttp
+import click
+from returns import result
+
+from arbutuschute.cli import output
+from arbutuschute.contracts import changes
+from arbutuschute.contracts import profiles
+from arbutuschute import desk
+from arbutuschute import documents
+
+IN_FORCE_WITHIN_S = 14.0
+PLATFORM_VARIABLE = 'ARBUTUSCHUTE_PLATFORM'
+
+platform_option = click.option(
+    '--platform',
+    envvar=PLATFORM_VARIABLE,
+    required=True,
+    metavar='URL',
+    help=f"The platform's address; or set {PLATFORM_VARIABLE}.",
+)
+json_option = click.option(
+    '--json', 'as_json', is_flag=True, help='Print JSON for a program.'
+)
+wait_option = click.option(
+    '--wait/--no-wait',
+    default=True,
+    help='Return only once every live instance has it in force.',
+)
+based_on_option = click.option(
+    '--based-on',
+    type=int,
+    metavar='REVISION',
+    help='The revision that you changed; default: the current one. '
+    'Another operator who was faster makes this fail.',
+)
+
+
+@click.group(context_settings={'help_option_names': ['-h', '--help']})
+@click.version_option(package_name='arbutuschute')
+def arbutuschute():
+    """Publish, change and withdraw profiles; see what came of it."""
+
+
+@arbutuschute.command()
+@click.argument('files', nargs=-1, required=True, type=click.Path())
+@json_option
+def check(files, as_json):
+    """Check profile or organisation FILES without publishing them."""
+    for file in files:
+        kind, document = _read_document(file, as_json)
+        if not as_json:
+            click.echo(f'{file}: {kind} {document.name} is valid')
+    if as_json:
+        output.print_json({'valid': list(files)})
+
+
+@arbutuschute.command()
+@click.argument('files', nargs=-1, required=True, type=click.Path())
+@based_on_option
+@wait_option
+@platform_option
+@json_option
+def publish(files, based_on, wait, platform, as_json):
+    """Publish profile or organisation FILES.
+
+    A file with a key_hash is an organisation, any other is a profile.
+    """
+    read = [_read_document(file, as_json) for file in files]
+
+    def make_changes(configuration):
+        return [
+            _make_publication(kind, document, based_on, configuration)
+            for kind, document in read
+        ]
+
+    _run_changes(platform, make_changes, wait, as_json)
+
+
+def _make_publication(kind, document, based_on, configuration):
+    is_profile = kind == 'profile'
+    make = (
+        changes.PublishProfile if is_profile else changes.PublishOrganisation
+    )
+    change = make(
+        id=desk.make_id(),
+        author=desk.OPERATOR,
+        document=document,
+        based_on=based_on if based_on is not None else -1,
+    )
+    if based_on is not None:
+        return change
+    current = desk.find_revision(configuration, change)
+    return make(
+        id=change.id,
+        author=change.author,
+        document=document,
+        based_on=current,
+    )
+
+
+@arbutuschute.group()
+def withdraw():
+    """Withdraw a version or a profile."""
+
+
+@withdraw.command(name='version')
+@click.argument('name', metavar='MODEL:VERSION')
+@click.option('--reason', default='', help='For those who ask later.')
+@wait_option
+@platform_option
+@json_option
+def withdraw_version(name, reason, wait, platform, as_json):
+    """Stop all new work on MODEL:VERSION, in every profile."""
+    model, version = _split_version(name)
+    change = changes.WithdrawVersion(
+        id=desk.make_id(),
+        author=desk.OPERATOR,
+        model=model,
+        version=version,
+        reason=reason,
+    )
+    _run_changes(platform, lambda _: [change], wait, as_json)
+
+
+@withdraw.command(name='profile')
+@click.argument('name')
+@based_on_option
+@wait_option
+@platform_option
+@json_option
+def withdraw_profile(name, based_on, wait, platform, as_json):
+    """Take the profile NAME out of use."""
+
+    def make_changes(configuration):
+        entry = configuration.profiles.get(name)
+        current = entry.revision if entry else -1
+        return [
+            changes.WithdrawProfile(
+                id=desk.make_id(),
+                author=desk.OPERATOR,
+                name=name,
+                based_on=current if based_on is None else based_on,
+            )
+        ]
+
+    _run_changes(platform, make_changes, wait, as_json)
+
+
+@arbutuschute.command()
+@click.argument('name', metavar='MODEL:VERSION')
+@wait_option
+@platform_option
+@json_option
+def restore(name, wait, platform, as_json):
+    """Allow a withdrawn MODEL:VERSION again."""
+    model, version = _split_version(name)
+
+    def make_changes(configuration):
+        return [
+            changes.RestoreVersion(
+                id=desk.make_id(),
+                author=desk.OPERATOR,
+                model=model,
+                version=version,
+                based_on=configuration.withdrawn.get(name, -1),
+            )
+        ]
+
+    _run_changes(platform, make_changes, wait, as_json)
+
+
+@arbutuschute.command()
+@click.argument('change_id', metavar='ID')
+@platform_option
+@json_option
+def outcome(change_id, platform, as_json):
+    """Tell what became of the change ID whose reply was lost."""
+    found = _run(platform, lambda at: at.find_outcome(change_id), as_json)
+    if as_json:
+        output.print_json(found)
+    else:
+        verdict = 'accepted' if found.accepted else f'refused: {found.code}'
+        click.echo(f'{change_id}: {verdict}, revision {found.offset}')
+
+
+@arbutuschute.command()
+@platform_option
+@json_option
+def status(platform, as_json):
+    """Show every router instance and what it has in force."""
+    statuses = _run(platform, lambda at: at.ask_routers('status'), as_json)
+    if as_json:
+        output.print_json(statuses)
+        return
+    rows = [_make_status_row(name, s) for name, s in statuses.items()]
+    output.print_table('Instances', rows)
+
+
+def _make_status_row(name, status_document):
+    known = status_document or {}
+    return {
+        'instance': name,
+        'zone': known.get('zone'),
+        'state': known.get('state', 'no answer'),
+        'revision': known.get('offset'),
+        'confirmed': known.get('confirmed'),
+        'in_flight': known.get('in_flight'),
+        'unsettled_bills': known.get('unsettled_bills'),
+        'silent_peers': known.get('silent', ()),
+    }
+
+
+@arbutuschute.command()
+@click.argument('profile')
+@click.option('--organisation', default='', help='Who would ask.')
+@click.option('--session', default='', help='The session that asks.')
+@platform_option
+@json_option
+def explain(profile, organisation, session, platform, as_json):
+    """Tell where a request under PROFILE would go, on each instance."""
+    answers = _run(
+        platform,
+        lambda at: at.ask_routers(
+            'explain',
+            profile=profile,
+            organisation=organisation,
+            session=session,
+        ),
+        as_json,
+    )
+    if as_json:
+        output.print_json(answers)
+        return
+    rows = [
+        {
+            'instance': name,
+            'model': model['model'],
+            'version': model['version'],
+            'withdrawn': model['withdrawn'],
+            'servers': sorted(model['servers']),
+        }
+        for name, answer in answers.items()
+        for model in (answer or {}).get('models', ())
+    ]
+    output.print_table(f'Profile {profile}', rows)
+
+
+@arbutuschute.command()
+@click.option('--each', is_flag=True, help='List every bill.')
+@platform_option
+@json_option
+def bills(each, platform, as_json):
+    """Sum up the bills, one per request, by the one reading rule."""
+    counted = _run(platform, lambda at: at.read_bills(), as_json)
+    if each:
+        rows = [
+            {
+                'id': bill.id,
+                'state': bill.state.name.lower(),
+                'outcome': bill.outcome,
+                'model': bill.model,
+                'version': bill.version,
+                'output_tokens': bill.output_tokens,
+                'cost': bill.cost,
+            }
+            for bill in counted.values()
+        ]
+    else:
+        rows = desk.sum_bills(counted)
+    if as_json:
+        output.print_json(rows)
+    else:
+        output.print_table('Bills', rows)
+
+
+@arbutuschute.command()
+@platform_option
+@json_option
+def histograms(platform, as_json):
+    """Show latency by organisation and class, for each instance."""
+    answers = _run(platform, lambda at: at.ask_routers('histograms'), as_json)
+    if as_json:
+        output.print_json(answers)
+        return
+    rows = [
+        {'instance': name, 'measure': measure, **summary}
+        for name, answer in answers.items()
+        for measure, summary in (answer or {}).items()
+    ]
+    output.print_table('Latency, milliseconds', rows)
+
+
+@arbutuschute.command()
+@platform_option
+@json_option
+def snapshot(platform, as_json):
+    """Append a snapshot of the configuration to the log now."""
+    digest = _run(platform, lambda at: at.write_snapshot(), as_json)
+    if as_json:
+        output.print_json({'snapshot': digest})
+    else:
+        click.echo(f'{digest} appended')
+
+
+def _read_document(file, as_json):
+    """Return (kind, document) of a checked file, or end the command."""
+    raw = documents.read_json(file)
+    content = raw.value_or(None)
+    is_organisation = isinstance(content, dict) and 'key_hash' in content
+    kind = 'organisation' if is_organisation else 'profile'
+    checker = (
+        profiles.check_organisation
+        if is_organisation
+        else profiles.check_profile
+    )
+    checked = raw.bind(lambda found: checker(found, file))
+    return kind, _unwrap(checked, as_json)
+
+
+def _split_version(name):
+    model, colon, version = name.partition(':')
+    if not (model and colon and version):
+        raise click.BadParameter(f'expected MODEL:VERSION, got {name}')
+    return model, version
+
+
+def _run(platform, act, as_json):
+    """Run one story at the desk; return its value or end the command."""
+
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            return await act(desk.Desk(session, platform))
+
+    return _unwrap(asyncio.run(run()), as_json)
+
+
+def _unwrap(outcome_or_failure, as_json):
+    if isinstance(outcome_or_failure, result.Failure):
+        output.exit_with(outcome_or_failure.failure(), as_json)
+    return outcome_or_failure.unwrap()
+
+
+def _run_changes(platform, make_changes, wait, as_json):
+    async def act(at):
+        configuration = await at.read_configuration()
+        state = configuration.value_or(None)
+        if state is None:
+            return configuration
+        lines = []
+        for change in make_changes(state):
+            answer = await at.apply_change(change)
+            settled = answer.value_or(None)
+            if settled is None:
+                return answer
+            lines.append((change, settled.offset))
+        if not wait:
+            return result.Success((lines, None))
+        in_force = await at.wait_in_force(lines[-1][1], IN_FORCE_WITHIN_S)
+        return in_force.map(lambda names: (lines, names))
+
+    lines, names = _run(platform, act, as_json)
+    _print_changes(lines, names, as_json)
+
+
+def _print_changes(lines, names, as_json):
+    if as_json:
+        rows = [
+            {'change': change.id, 'revision': revision}
+            for change, revision in lines
+        ]
+        output.print_json({'changes': rows, 'in_force': names})
+        return
+    for change, revision in lines:
+        what = type(change).__struct_config__.tag
+        click.echo(f'{what}: accepted as revision {revision}')
+    if names is not None:
+        click.echo(f'in force on {len(names)} instances: {", ".join(names)}')
--- /dev/null
+++ b/arbutuschute/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare: profiles, organisations and their history."""
--- /dev/null
+++ b/arbutuschute/contracts/history.py
@@ -0,0 +1,92 @@
+"""The running instance's copy of the configuration, and how it starts.
+
+It starts from the log, from a snapshot in the log, or, while the store is
+down, from a peer. It only ever moves forward in log order.
+"""
+
+import collections
+
+import msgspec
+
+from arbutuschute.contracts import fold
+from arbutuschute.links import log
+from arbutuschute import messages
+
+RECENT_RECORDS = 2000
+RECORDS_PER_MESSAGE = 200
+
+
+class History:
+    """Folds records into the configuration and serves peers that lag."""
+
+    __slots__ = ('_recent', 'configuration')
+
+    def __init__(self):
+        self.configuration = fold.Configuration()
+        self._recent = collections.deque(maxlen=RECENT_RECORDS)
+
+    def apply(self, record):
+        """Fold in one record, in order."""
+        if record.offset <= self.configuration.offset:
+            return
+        fold.apply_record(self.configuration, record)
+        self._recent.append(record)
+
+    def start_from(self, state):
+        """Take over a state if it is ahead of the own one."""
+        if state.offset <= self.configuration.offset:
+            return False
+        for name in state.__struct_fields__:
+            setattr(self.configuration, name, getattr(state, name))
+        self._recent.clear()
+        return True
+
+    def make_records(self, identity, offset):
+        """Return the message that brings a peer at ``offset`` further."""
+        sender, incarnation = identity
+        recent = self._recent
+        if recent and recent[0].offset <= offset + 1:
+            missing = [r for r in recent if r.offset > offset]
+            return messages.ConfigurationRecords(
+                sender=sender,
+                incarnation=incarnation,
+                records=tuple(
+                    (record.offset, record.time, bytes(record.value))
+                    for record in missing[:RECORDS_PER_MESSAGE]
+                ),
+            )
+        return messages.ConfigurationRecords(
+            sender=sender,
+            incarnation=incarnation,
+            state=msgspec.json.encode(self.configuration),
+        )
+
+    def accept_records(self, message):
+        """Take over a peer's records; return the new position."""
+        if message.state is not None:
+            self.start_from(fold.load_state(message.state))
+        for offset, time, value in message.records:
+            if offset == self.configuration.offset + 1:
+                self.apply(log.Record(offset, time, msgspec.Raw(value)))
+        return self.configuration.offset + 1
+
+
+async def read_start(client, stream):
+    """Return (state, records, answered) from the log's retained records.
+
+    ``state`` is None if the log does not hold a prefix to start from.
+    """
+    records = []
+    position = 0
+    first = None
+    while True:
+        answer = await client.read(stream, position)
+        page = answer.value_or(None)
+        if page is None:
+            return None, [], False
+        if first is None:
+            first = page.first
+        records.extend(page.records)
+        position = records[-1].offset + 1 if records else page.head
+        if position >= page.head or not page.records:
+            return fold.find_start(records, first), records, True
--- /dev/null
+++ b/arbutuschute/desk.py
@@ -0,0 +1,238 @@
+"""The operator's desk: what the ``arbutuschute`` command does.
+
+Each function tells one story against the platform and the routers, and
+returns a ``Result``: plain data for people and programs, or a failure.
+"""
+
+import asyncio
+import collections
+import uuid
+
+import aiohttp
+import msgspec
+from returns import result
+
+from arbutuschute.contracts import changes
+from arbutuschute.contracts import fold
+from arbutuschute.contracts import history
+from arbutuschute import control
+from arbutuschute import errors
+from arbutuschute.ledgers import bills
+from arbutuschute.ledgers import commit
+from arbutuschute.links import log
+from arbutuschute.machines import instances
+
+APPEND_TIMEOUT_S = 2.0
+SETTLE_TIMEOUT_S = 8.0
+STATUS_TIMEOUT_S = 2.0
+POLL_PERIOD_S = 0.1
+OPERATOR = 'operator'
+
+
+class Desk:
+    """An operator's connection to one platform."""
+
+    __slots__ = ('client', 'platform', 'session')
+
+    def __init__(self, session, platform):
+        self.session = session
+        self.platform = platform
+        self.client = log.LogClient(
+            session, platform, OPERATOR, APPEND_TIMEOUT_S
+        )
+
+    async def read_configuration(self):
+        """Return ``Result`` with the configuration as the log has it."""
+        state, records, answered = await history.read_start(
+            self.client, control.CONFIGURATION_STREAM
+        )
+        if not answered:
+            return result.Failure(errors.StoreDown('configuration'))
+        if state is None:
+            first = records[0].offset if records else 0
+            return result.Failure(errors.ConfigurationLost(first))
+        for record in records:
+            fold.apply_record(state, record)
+        return result.Success(state)
+
+    async def apply_change(self, change):
+        """Append a change; return ``Result`` with its ``Outcome``.
+
+        A lost reply is settled by reading on; the change is appended again
+        only under the same id, which has no second effect.
+        """
+        value = fold.encode_entries([change])
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + SETTLE_TIMEOUT_S
+        while loop.time() < limit:
+            await self.client.append(control.CONFIGURATION_STREAM, value)
+            state = (await self.read_configuration()).value_or(None)
+            outcome = state and state.outcomes.get(change.id)
+            if outcome is not None:
+                return _judge(outcome, change, state)
+            await asyncio.sleep(POLL_PERIOD_S)
+        command = f'arbutuschute outcome {change.id}'
+        return result.Failure(errors.PublishUnknown(command))
+
+    async def find_outcome(self, change_id):
+        """Return ``Result`` with the outcome of an earlier change."""
+        configuration = await self.read_configuration()
+        return configuration.bind(
+            lambda state: (
+                result.Success(state.outcomes[change_id])
+                if change_id in state.outcomes
+                else result.Failure(
+                    errors.PublishUnknown(f'arbutuschute outcome {change_id}')
+                )
+            )
+        )
+
+    async def write_snapshot(self):
+        """Append a snapshot; return ``Result`` with its id."""
+        configuration = await self.read_configuration()
+        state = configuration.value_or(None)
+        if state is None:
+            return configuration
+        entry = fold.make_snapshot(state, OPERATOR)
+        answer = await self.client.append(
+            control.CONFIGURATION_STREAM, fold.encode_entries([entry])
+        )
+        return answer.map(lambda _: entry.id)
+
+    async def list_routers(self):
+        """Return ``Result`` with the live router instances."""
+        listed = await instances.fetch_instances(
+            self.session, self.platform, OPERATOR
+        )
+        return listed.map(
+            lambda found: [i for i in found if i.kind == 'router']
+        )
+
+    async def ask_router(self, router, path, **query):
+        """Return a router's answer as plain data, or None."""
+        try:
+            async with self.session.get(
+                f'{router.operators_address}/{path}',
+                params=query,
+                timeout=aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S),
+            ) as response:
+                return msgspec.json.decode(await response.read())
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            msgspec.DecodeError,
+            OSError,
+        ):
+            return None
+
+    async def ask_routers(self, path, **query):
+        """Return ``Result`` with each router's answer by name."""
+        routers = await self.list_routers()
+        found = routers.value_or(None)
+        if found is None:
+            return routers
+        answers = await asyncio.gather(
+            *(self.ask_router(router, path, **query) for router in found)
+        )
+        named = zip(found, answers, strict=True)
+        return result.Success({router.name: a for router, a in named})
+
+    async def wait_in_force(self, offset, timeout_s):
+        """Return ``Result`` with the instances that have an offset in force.
+
+        Fails with the names of those that have not within the time.
+        """
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + timeout_s
+        while True:
+            asked = await self.ask_routers('status')
+            statuses = asked.value_or({})
+            lagging = sorted(
+                name
+                for name, status in statuses.items()
+                if status is None or status['offset'] < offset
+            )
+            if statuses and not lagging:
+                return result.Success(sorted(statuses))
+            if loop.time() >= limit:
+                return result.Failure(
+                    errors.NotInForce(', '.join(lagging) or 'unknown')
+                )
+            await asyncio.sleep(POLL_PERIOD_S)
+
+    async def read_bills(self):
+        """Return ``Result`` with the bills that count, by id."""
+        entries = []
+        position = 0
+        while True:
+            answer = await self.client.read(control.BILLS_STREAM, position)
+            page = answer.value_or(None)
+            if page is None:
+                return answer
+            for record in page.records:
+                entries.extend(commit.split(record))
+                position = record.offset + 1
+            if not page.records or position >= page.head:
+                return result.Success(bills.read_bills(entries))
+
+
+def _judge(outcome, change, state):
+    if outcome.accepted:
+        return result.Success(outcome)
+    if outcome.code == errors.RevisionConflict.code:
+        name = getattr(change, 'name', None) or getattr(
+            getattr(change, 'document', None), 'name', change.id
+        )
+        return result.Failure(
+            errors.RevisionConflict(
+                name,
+                getattr(change, 'based_on', None),
+                find_revision(state, change),
+            )
+        )
+    return result.Failure(errors.BrokenDocument(change.id, (outcome.code,)))
+
+
+def find_revision(state, change):
+    """Return the current revision of what a change would change."""
+    if isinstance(change, changes.RestoreVersion):
+        name = fold.name_version(change.model, change.version)
+        return state.withdrawn.get(name, fold.ABSENT_REVISION)
+    if isinstance(change, changes.PublishOrganisation):
+        table, name = state.organisations, change.document.name
+    elif isinstance(change, changes.PublishProfile):
+        table, name = state.profiles, change.document.name
+    else:
+        table, name = state.profiles, change.name
+    entry = table.get(name)
+    return entry.revision if entry else fold.ABSENT_REVISION
+
+
+def make_id():
+    """Return a new id for a change."""
+    return uuid.uuid4().hex
+
+
+def sum_bills(counted):
+    """Return one row per organisation, model and version, by name."""
+    rows = collections.defaultdict(lambda: [0, 0, 0.0])
+    for bill in counted.values():
+        if bill.state is bills.State.OPENED:
+            continue
+        row = rows[bill.organisation, bill.model, bill.version]
+        row[0] += 1
+        row[1] += bill.output_tokens
+        row[2] += bill.cost
+    return [
+        {
+            'organisation': organisation,
+            'model': model,
+            'version': version,
+            'requests': requests,
+            'output_tokens': tokens,
+            'cost': round(cost, 6),
+        }
+        for (organisation, model, version), (requests, tokens, cost) in sorted(
+            rows.items()
+        )
+    ]
--- /dev/null
+++ b/arbutuschute/environment.py
@@ -0,0 +1,58 @@
+"""What the parts of one running router share, in place of globals."""
+
+
+class Environment:
+    """The parts of one router, wired by the composition root."""
+
+    __slots__ = (
+        'admission',
+        'bill_commit',
+        'budget',
+        'claim_commit',
+        'claims',
+        'claims_tail',
+        'config_tail',
+        'configuration',
+        'confirmed_until',
+        'fleet',
+        'guard',
+        'http',
+        'http_once',
+        'incarnation',
+        'keeping',
+        'kept',
+        'log',
+        'log_client',
+        'membership',
+        'metrics',
+        'numbers',
+        'peers',
+        'pins',
+        'random',
+        'settings',
+        'state',
+        'timer',
+    )
+
+    @property
+    def name(self):
+        """The instance's name."""
+        return self.settings.name
+
+    @property
+    def identity(self):
+        """The pair (name, incarnation) that this process goes by."""
+        return self.settings.name, self.incarnation
+
+    def claims_complete(self):
+        """Tell whether every claim of the window is known here."""
+        tail = self.claims_tail
+        if tail.first is None:
+            return False
+        if tail.first == 0:
+            return True
+        window_s = self.settings.control.claim_window_s
+        return (
+            tail.first_time is not None
+            and tail.first_time + window_s <= self.timer.wall()
+        )
--- /dev/null
+++ b/arbutuschute/errors.py
@@ -0,0 +1,192 @@
+"""Every failure of the system, as a type with a stable code.
+
+Towards callers a failure becomes a problem document (RFC 9457) whose
+``ran`` member says whether the request may have run.
+"""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether a backend server ran the request."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class Failure(Exception):
+    """Base of all failures; ``code`` is stable, ``detail`` is for people."""
+
+    code = 'internal'
+    title = 'Internal failure'
+    http_status = 500
+    ran = Ran.NO
+    retry_after_s = None
+
+    @property
+    def detail(self):
+        """The failure's own fields, spelled out."""
+        if not dataclasses.is_dataclass(self):
+            return self.title
+        facts = (
+            f'{field.name.replace("_", " ")}: {getattr(self, field.name)}'
+            for field in dataclasses.fields(self)
+        )
+        return '; '.join(facts) or self.title
+
+    def mark_ran(self, ran):
+        """Return this failure with what is known about the request's run."""
+        self.ran = ran
+        return self
+
+    def __str__(self):
+        return f'{self.title} ({self.detail})'
+
+
+def describe_problem(failure):
+    """Return the RFC 9457 members of a failure as a dict."""
+    return {
+        'type': f'urn:arbutuschute:{failure.code}',
+        'title': failure.title,
+        'status': failure.http_status,
+        'detail': failure.detail,
+        'code': failure.code,
+        'ran': failure.ran.value,
+    }
+
+
+def define(name, code, title, http_status, *fields, retry_after_s=None):
+    """Make a failure type whose constructor takes ``fields`` in order."""
+    made = dataclasses.make_dataclass(
+        name, [(field, object) for field in fields], bases=(Failure,), eq=False
+    )
+    made.__doc__ = f'{title}.'
+    made.__module__ = __name__
+    made.code = code
+    made.title = title
+    made.http_status = http_status
+    made.retry_after_s = retry_after_s
+    return made
+
+
+# Bad input.
+BrokenSettings = define(
+    'BrokenSettings', 'broken-settings', 'Settings are not valid', 500,
+    'file', 'faults',
+)  # fmt: skip
+BrokenDocument = define(
+    'BrokenDocument', 'broken-document', 'Document is not valid', 422,
+    'name', 'faults',
+)  # fmt: skip
+UnreadableFile = define(
+    'UnreadableFile', 'unreadable-file', 'File cannot be read', 500,
+    'file', 'reason',
+)  # fmt: skip
+BrokenBody = define(
+    'BrokenBody', 'broken-body', 'Request body is not valid', 400, 'reason'
+)
+BodyTooLarge = define(
+    'BodyTooLarge', 'body-too-large', 'Request body is too large', 413,
+    'limit_bytes',
+)  # fmt: skip
+BrokenHeader = define(
+    'BrokenHeader', 'broken-header', 'Request header is not valid', 400,
+    'header', 'expected',
+)  # fmt: skip
+MissingIdempotencyKey = define(
+    'MissingIdempotencyKey', 'missing-idempotency-key',
+    'This profile needs an Idempotency-Key', 400, 'profile',
+)  # fmt: skip
+KeyReused = define(
+    'KeyReused', 'key-reused',
+    'Idempotency-Key was used for a different request', 422, 'key',
+)  # fmt: skip
+
+# Not allowed.
+UnknownKey = define('UnknownKey', 'unknown-key', 'API key is not known', 401)
+UnknownProfile = define(
+    'UnknownProfile', 'unknown-profile', 'Profile is not known', 404,
+    'profile',
+)  # fmt: skip
+ProfileNotAllowed = define(
+    'ProfileNotAllowed', 'profile-not-allowed',
+    'Organisation may not use this profile', 403, 'organisation', 'profile',
+)  # fmt: skip
+ModelNotAllowed = define(
+    'ModelNotAllowed', 'model-not-allowed',
+    'Profile does not allow this model', 403, 'profile', 'model',
+)  # fmt: skip
+NoAllowedVersion = define(
+    'NoAllowedVersion', 'no-allowed-version',
+    'Every version that the profile allows is withdrawn', 409, 'profile',
+)  # fmt: skip
+
+# Capacity and availability.
+Overloaded = define(
+    'Overloaded', 'overloaded', 'Too much work is waiting', 429,
+    'organisation', retry_after_s=1,
+)  # fmt: skip
+DeadlinePassed = define(
+    'DeadlinePassed', 'deadline-passed', 'Deadline passed', 504, 'deadline_ms'
+)
+NoBackendServer = define(
+    'NoBackendServer', 'no-backend-server',
+    'No backend server offers what the profile allows', 503, 'wanted',
+    retry_after_s=1,
+)  # fmt: skip
+CutOff = define(
+    'CutOff', 'cut-off',
+    'This instance cannot confirm that its configuration is current', 503,
+    'instance', retry_after_s=2,
+)  # fmt: skip
+StoreDown = define(
+    'StoreDown', 'store-down', 'The platform log does not answer', 503,
+    'purpose', retry_after_s=2,
+)  # fmt: skip
+Stopping = define(
+    'Stopping', 'stopping', 'This instance is shutting down', 503,
+    'instance', retry_after_s=1,
+)  # fmt: skip
+
+# Backend servers.
+EngineRefused = define(
+    'EngineRefused', 'engine-refused', 'Backend server refused', 503,
+    'server', 'reason', retry_after_s=1,
+)  # fmt: skip
+EngineUnreachable = define(
+    'EngineUnreachable', 'engine-unreachable',
+    'Backend server cannot be reached', 502, 'server', retry_after_s=1,
+)  # fmt: skip
+AnswerBroken = define(
+    'AnswerBroken', 'answer-broken', 'Answer ended before its end', 502,
+    'server',
+)  # fmt: skip
+AnswerCrossed = define(
+    'AnswerCrossed', 'answer-crossed', 'Answer belongs to another request',
+    502, 'server',
+)  # fmt: skip
+OutcomeUnknown = define(
+    'OutcomeUnknown', 'outcome-unknown',
+    'An earlier request with this key may have run', 409, 'key',
+)  # fmt: skip
+
+# Publishing.
+RevisionConflict = define(
+    'RevisionConflict', 'revision-conflict',
+    'Another operator changed this first', 409,
+    'name', 'based_on', 'current',
+)  # fmt: skip
+PublishUnknown = define(
+    'PublishUnknown', 'publish-unknown',
+    'No reply: the change may have taken effect', 504, 'settle_with',
+)  # fmt: skip
+NotInForce = define(
+    'NotInForce', 'not-in-force',
+    'Accepted, but not yet in force everywhere', 504, 'instances',
+)  # fmt: skip
+ConfigurationLost = define(
+    'ConfigurationLost', 'configuration-lost',
+    'The log no longer holds a prefix to start from', 503, 'first_offset',
+)  # fmt: skip
--- /dev/null
+++ b/arbutuschute/ledgers/__init__.py
@@ -0,0 +1,1 @@
+"""Ledgers: claims, bills and session pins."""
--- /dev/null
+++ b/arbutuschute/ledgers/commit.py
@@ -0,0 +1,105 @@
+"""Group commit: many entries in one append, in order, until it succeeds."""
+
+import asyncio
+import collections
+import contextlib
+
+import msgspec
+
+from arbutuschute.contracts import changes
+
+BATCH_ENTRIES = 500
+RETRY_PAUSE_S = 0.2
+
+
+def split(record):
+    """Return the raw entries of a record that ``GroupCommit`` wrote."""
+    return changes.split_batch(record.value)
+
+
+class GroupCommit:
+    """The task that owns the appends to one stream.
+
+    An append with an unknown outcome is repeated; its entries carry ids
+    and readers drop second copies.
+    """
+
+    __slots__ = (
+        '_client',
+        '_pending',
+        '_period_s',
+        '_stream',
+        '_timer',
+        '_urgent',
+        '_wake',
+        'failing_since',
+    )
+
+    def __init__(self, client, stream, timer, period_s=0.0):
+        self._client = client
+        self._stream = stream
+        self._timer = timer
+        self._period_s = period_s
+        self._pending = collections.deque()
+        self._wake = asyncio.Event()
+        self._urgent = asyncio.Event()
+        self.failing_since = None
+
+    def __len__(self):
+        return len(self._pending)
+
+    def put(self, entry, urgent=False):
+        """Queue an entry; return a future of the offset that it gets.
+
+        An urgent entry does not wait for the period to end.
+        """
+        committed = asyncio.get_running_loop().create_future()
+        self._pending.append((entry, committed))
+        self._wake.set()
+        if urgent:
+            self._urgent.set()
+        return committed
+
+    def drop_if_unsent(self, committed):
+        """Take back an entry that no append has carried yet."""
+        for queued in self._pending:
+            if queued[1] is committed:
+                self._pending.remove(queued)
+                return True
+        return False
+
+    async def run(self):
+        """Append what is queued, one batch at a time, for ever."""
+        while True:
+            await self._wake.wait()
+            await self._gather()
+            self._urgent.clear()
+            await self._append_batch()
+            if not self._pending:
+                self._wake.clear()
+
+    async def _gather(self):
+        """Let entries gather for a period, unless one is urgent."""
+        if not self._period_s or len(self._pending) >= BATCH_ENTRIES:
+            return
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self._urgent.wait(), self._period_s)
+
+    async def _append_batch(self):
+        count = min(len(self._pending), BATCH_ENTRIES)
+        batch = [self._pending.popleft() for _ in range(count)]
+        if not batch:
+            return
+        value = changes.encode_batch(msgspec.Raw(entry) for entry, _ in batch)
+        while True:
+            answer = await self._client.append(self._stream, value)
+            offset = answer.value_or(None)
+            if offset is not None:
+                break
+            if self.failing_since is None:
+                self.failing_since = self._timer.now()
+            await self._timer.sleep(RETRY_PAUSE_S)
+        self.failing_since = None
+        for _, committed in batch:
+            if not committed.done():
+                committed.set_result(offset.offset)
--- /dev/null
+++ b/arbutuschute/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links: the sockets towards callers, engines, log and peers."""
--- /dev/null
+++ b/arbutuschute/links/caller.py
@@ -0,0 +1,365 @@
+"""Link to callers: the chat-completions shape, and plain services."""
+
+import hashlib
+import re
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from arbutuschute import core
+from arbutuschute import errors
+from arbutuschute.ledgers import pins
+from arbutuschute import running
+from arbutuschute import work as work_module
+
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+PROBLEM_TYPE = 'application/problem+json'
+STREAM_TYPE = 'text/event-stream'
+NAME_PATTERN = re.compile(r'^[\x21-\x7e]{1,128}$')
+DEADLINE_PATTERN = re.compile(r'^[1-9][0-9]{0,8}$')
+
+
+class ChatBody(msgspec.Struct):
+    """The members of a chat request that the router reads."""
+
+    model: str
+    messages: list
+    stream: bool = False
+    max_tokens: int | None = None
+
+
+class Reply:
+    """Writes one answer to the caller, with what the router adds."""
+
+    __slots__ = (
+        '_environment',
+        '_request',
+        '_response',
+        '_work',
+        'body',
+        'content_type',
+        'status',
+    )
+
+    def __init__(self, environment, request, work):
+        self._environment = environment
+        self._request = request
+        self._work = work
+        self._response = None
+        self.status = 0
+        self.body = None
+        self.content_type = ''
+
+    @property
+    def response(self):
+        """The aiohttp response, once there is one."""
+        return self._response
+
+    @property
+    def is_streaming(self):
+        """Whether a part of the answer has gone out already."""
+        return self._response is not None and self._response.prepared
+
+    def _make_headers(self, version, server):
+        headers = {
+            'X-Request-Id': self._work.id,
+            'X-Backend-Server': server.name,
+        }
+        if version is None:
+            return headers
+        headers['X-Model'] = version.model
+        headers['X-Version'] = version.version
+        work = self._work
+        if work.session is not None or work.token is not None:
+            headers['X-Session-Token'] = running.make_token(
+                self._environment, work, version
+            )
+            old = work.token and work.token.versions.get(version.model)
+            if old and old != version.version:
+                headers['X-Session-Moved-From'] = old
+        return headers
+
+    async def answer(self, status, content_type, body, version, server):
+        """Answer whole."""
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+        self._response = web.Response(
+            status=status,
+            body=body,
+            content_type=content_type,
+            headers=self._make_headers(version, server),
+        )
+
+    async def replay(self, outcome):
+        """Answer with the stored outcome of an earlier request."""
+        self._response = web.Response(
+            status=outcome.status,
+            body=outcome.body,
+            content_type=outcome.content_type,
+            headers={'X-Replayed': 'yes', 'X-Request-Id': self._work.id},
+        )
+
+    async def start_stream(self, version, server):
+        """Send the headers of a streamed answer."""
+        response = web.StreamResponse(
+            headers=self._make_headers(version, server)
+        )
+        response.content_type = STREAM_TYPE
+        self._response = response
+        await response.prepare(self._request)
+
+    async def write(self, events):
+        """Send whole events; waits while the caller reads slowly."""
+        await self._response.write(events)
+
+    async def end_stream(self, tail):
+        """Send the end of the answer."""
+        await self._response.write_eof(tail)
+
+    async def break_stream(self, failure):
+        """End a started stream with a typed error and no end marker."""
+        problem = msgspec.json.encode(errors.describe_problem(failure))
+        await self._response.write(b'event: error\ndata: ' + problem + b'\n\n')
+        await self._response.write_eof()
+
+
+class CallerLink:
+    """HTTP handlers for callers."""
+
+    __slots__ = ('_environment',)
+
+    def __init__(self, environment):
+        self._environment = environment
+
+    def make_app(self):
+        """Return the aiohttp application for callers."""
+        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        app.add_routes(
+            [
+                web.post('/v1/chat/completions', self.handle_chat),
+                web.route('*', '/services/{name}/{path:.*}',
+                          self.handle_service),
+                web.get('/healthz', self.handle_health),
+            ]
+        )  # fmt: skip
+        return app
+
+    async def handle_health(self, request):
+        """Tell the balancer whether to send requests here."""
+        live = self._environment.state == 'live'
+        return web.json_response(
+            {'state': self._environment.state}, status=200 if live else 503
+        )
+
+    async def handle_chat(self, request):
+        """Serve a chat completion."""
+        return await self._handle(request, read_chat)
+
+    async def handle_service(self, request):
+        """Serve a call to a plain service."""
+        return await self._handle(request, read_service)
+
+    async def _handle(self, request, read_work):
+        environment = self._environment
+        environment.metrics.count('requests')
+        work = reply = None
+        try:
+            work = await read_work(environment, request)
+            reply = Reply(environment, request, work)
+            await core.serve(environment, work, reply)
+        except errors.Failure as failure:
+            return await self._fail(request, work, reply, failure)
+        except ConnectionResetError:
+            environment.metrics.count('callers.gone')
+            return reply.response or web.Response(status=499)
+        except Exception as error:
+            environment.log.opt(exception=error).error('request fault')
+            failure = errors.Failure().mark_ran(
+                work.ran if work else errors.Ran.NO
+            )
+            return await self._fail(request, work, reply, failure)
+        finally:
+            if work is not None:
+                _observe(environment, work)
+        environment.metrics.count('answers')
+        return reply.response
+
+    async def _fail(self, request, work, reply, failure):
+        self._environment.metrics.count(f'refusals.{failure.code}')
+        if reply is not None and reply.is_streaming:
+            try:
+                await reply.break_stream(failure)
+            except ConnectionResetError:
+                self._environment.metrics.count('callers.gone')
+            return reply.response
+        headers = {}
+        if work is not None:
+            headers['X-Request-Id'] = work.id
+        if failure.retry_after_s:
+            headers['Retry-After'] = str(failure.retry_after_s)
+        return web.Response(
+            status=failure.http_status,
+            body=msgspec.json.encode(errors.describe_problem(failure)),
+            content_type=PROBLEM_TYPE,
+            headers=headers,
+        )
+
+
+def _observe(environment, work):
+    total_ms = (environment.timer.now() - work.received_at) * 1000
+    environment.metrics.observe(
+        'total_ms.organisation', work.organisation.name, total_ms
+    )
+    environment.metrics.observe('total_ms.class', work.class_name, total_ms)
+
+
+async def read_chat(environment, request):
+    """Return the checked ``Work`` of a chat request."""
+    organisation = identify(environment, request)
+    raw = await _read_body(request)
+    try:
+        body = msgspec.json.decode(raw)
+        shape = msgspec.convert(body, ChatBody)
+    except msgspec.DecodeError as error:
+        raise errors.BrokenBody(str(error)) from None
+    name, _, model = shape.model.partition('/')
+    profile = _find_profile(environment, organisation, name)
+    if profile.service:
+        raise errors.UnknownProfile(name)
+    work = _make_work(environment, request, organisation, profile, raw)
+    if model:
+        if model not in profile.find_models():
+            raise errors.ModelNotAllowed(name, model)
+        work.model = model
+    most = profile.limits.max_tokens
+    if shape.max_tokens is not None and not 1 <= shape.max_tokens <= most:
+        raise errors.BrokenBody(f'max_tokens: expected 1 to {most}')
+    work.body = body
+    work.stream = shape.stream
+    return work
+
+
+async def read_service(environment, request):
+    """Return the checked ``Work`` of a call to a plain service."""
+    organisation = identify(environment, request)
+    name = request.match_info['name']
+    profile = _find_profile(environment, organisation, name)
+    if not profile.service:
+        raise errors.UnknownProfile(name)
+    raw = await _read_body(request)
+    work = _make_work(environment, request, organisation, profile, raw)
+    work.method = request.method
+    work.path = '/' + request.match_info['path']
+    work.body = raw
+    return work
+
+
+async def _read_body(request):
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise errors.BodyTooLarge(BODY_LIMIT_BYTES) from None
+    except (aiohttp.ClientError, web.HTTPException):
+        raise errors.BrokenBody('body could not be read') from None
+
+
+def identify(environment, request):
+    """Return the organisation whose API key the request carries."""
+    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
+    if scheme.lower() != 'bearer' or not key:
+        raise errors.UnknownKey()
+    key_hash = hashlib.sha256(key.strip().encode()).hexdigest()
+    organisation = environment.configuration.find_organisation(key_hash)
+    if organisation is None:
+        raise errors.UnknownKey()
+    return organisation
+
+
+def _find_profile(environment, organisation, name):
+    published = environment.configuration.profiles.get(name)
+    if published is None or published.document is None:
+        raise errors.UnknownProfile(name)
+    if organisation.name not in published.document.organisations:
+        raise errors.ProfileNotAllowed(organisation.name, name)
+    return published.document
+
+
+def _make_work(environment, request, organisation, profile, raw):
+    if len(raw) > profile.limits.body_bytes:
+        raise errors.BodyTooLarge(profile.limits.body_bytes)
+    headers = request.headers
+    key = _read_name(headers, 'Idempotency-Key')
+    if not profile.idempotent and key is None:
+        raise errors.MissingIdempotencyKey(profile.name)
+    now = environment.timer.now()
+    work = work_module.Work(
+        _choose_id(environment), organisation, profile, now
+    )
+    work.key = key
+    work.session = _read_name(headers, 'X-Session')
+    work.token = _read_token(environment, headers, work)
+    work.class_name = _read_class(headers, profile)
+    work.deadline_ms = _read_deadline(headers, work.work_class)
+    work.deadline_at = now + work.deadline_ms / 1000
+    work.fingerprint = hashlib.sha256(
+        f'{request.method} {request.path} '.encode() + raw
+    ).hexdigest()
+    work.bill_id = _choose_bill_id(headers, work)
+    return work
+
+
+def _choose_id(environment):
+    """Return an id that no other request of any incarnation has."""
+    name, incarnation = environment.identity
+    return f'{name}-{incarnation}-{next(environment.numbers)}'
+
+
+def _choose_bill_id(headers, work):
+    """Return the id that repeats of the same request share, for one bill."""
+    given = work.key or _read_name(headers, 'X-Request-Id')
+    if given is None:
+        return work.id
+    digest = hashlib.sha256(f'{given} {work.fingerprint}'.encode())
+    return f'same-{digest.hexdigest()[:32]}'
+
+
+def _read_name(headers, header):
+    value = headers.get(header)
+    if value is not None and not NAME_PATTERN.match(value):
+        raise errors.BrokenHeader(header, '1 to 128 visible characters')
+    return value
+
+
+def _read_token(environment, headers, work):
+    text = headers.get('X-Session-Token')
+    if text is None:
+        return None
+    token = pins.read_token(text, environment.settings.session_secret)
+    if (
+        token is None
+        or token.organisation != work.organisation.name
+        or token.profile != work.profile.name
+    ):
+        raise errors.BrokenHeader(
+            'X-Session-Token', 'a token that this service gave out'
+        )
+    return token
+
+
+def _read_class(headers, profile):
+    name = headers.get('X-Class', work_module.DEFAULT_CLASS)
+    if name != work_module.DEFAULT_CLASS and name not in profile.classes:
+        expected = ', '.join(profile.classes) or 'no class'
+        raise errors.BrokenHeader('X-Class', f'one of {expected}')
+    return name
+
+
+def _read_deadline(headers, work_class):
+    text = headers.get('X-Deadline-Ms')
+    if text is None:
+        return work_class.deadline_ms
+    if not DEADLINE_PATTERN.match(text):
+        raise errors.BrokenHeader('X-Deadline-Ms', 'milliseconds from 1 on')
+    return min(int(text), work_class.deadline_ms)
--- /dev/null
+++ b/arbutuschute/links/engine.py
@@ -0,0 +1,206 @@
+"""Link to backend servers: one attempt owns one connection."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+
+from arbutuschute import errors
+
+CONNECT_TIMEOUT_S = 1.0
+STALL_TIMEOUT_S = 15.0
+CANCEL_TIMEOUT_S = 1.0
+DRAIN_TIMEOUT_S = 0.5
+EVENT_END = b'\n\n'
+STREAM_END = b'data: [DONE]\n\n'
+USAGE_MARK = b'"usage"'
+REFUSING_STATUSES = (429, 503)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Tokens that an engine counted for one request."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Final(msgspec.Struct, frozen=True):
+    id: str
+    usage: Usage
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    reason: str = ''
+    ran: str = 'no'
+
+
+_final_decoder = msgspec.json.Decoder(_Final)
+_refusal_decoder = msgspec.json.Decoder(_Refusal)
+
+
+@contextlib.asynccontextmanager
+async def open_attempt(session, server, path, headers, body, deadline_s,
+                       method='POST'):  # fmt: skip
+    """Send a request; yield the response, or raise a typed failure.
+
+    The failure's ``ran`` is ``no`` only if the server refused the request
+    itself or could not be connected to.
+    """
+    timeout = aiohttp.ClientTimeout(
+        sock_connect=min(CONNECT_TIMEOUT_S, deadline_s),
+        sock_read=min(STALL_TIMEOUT_S, deadline_s),
+    )
+    try:
+        response = await session.request(
+            method,
+            f'{server.instance.address}{path}',
+            data=body,
+            headers=headers,
+            timeout=timeout,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise errors.EngineUnreachable(server.name) from None
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        raise errors.AnswerBroken(server.name).mark_ran(
+            errors.Ran.UNKNOWN
+        ) from None
+    try:
+        if response.status in REFUSING_STATUSES:
+            raise await _read_refusal(response, server)
+        yield response
+    finally:
+        response.close()
+
+
+async def _read_refusal(response, server):
+    try:
+        refusal = _refusal_decoder.decode(await response.read())
+    except (msgspec.DecodeError, aiohttp.ClientError, asyncio.TimeoutError):
+        refusal = _Refusal(reason='unclear', ran='unknown')
+    failure = errors.EngineRefused(server.name, refusal.reason)
+    known = refusal.ran == errors.Ran.NO.value
+    return failure.mark_ran(errors.Ran.NO if known else errors.Ran.UNKNOWN)
+
+
+def check_echo(response, work_id, server):
+    """Raise ``AnswerCrossed`` unless the answer names our request."""
+    if response.headers.get('X-Request-Id') != work_id:
+        raise errors.AnswerCrossed(server.name).mark_ran(errors.Ran.UNKNOWN)
+
+
+async def read_whole(response, work_id, server):
+    """Return (body, usage) of a whole answer; raise if it is broken."""
+    try:
+        body = await response.read()
+        final = _final_decoder.decode(body)
+    except (
+        aiohttp.ClientError,
+        asyncio.TimeoutError,
+        msgspec.DecodeError,
+        OSError,
+    ):
+        raise errors.AnswerBroken(server.name).mark_ran(
+            errors.Ran.UNKNOWN
+        ) from None
+    if final.id != work_id:
+        raise errors.AnswerCrossed(server.name).mark_ran(errors.Ran.UNKNOWN)
+    return body, final.usage
+
+
+class EventReader:
+    """Reads whole events of a stream and holds back its end.
+
+    ``tail`` is the usage event with the end marker, once they have come.
+    """
+
+    __slots__ = ('_partial', '_response', '_server', 'events', 'tail')
+
+    def __init__(self, response, server):
+        self._response = response
+        self._server = server
+        self._partial = b''
+        self.events = 0
+        self.tail = None
+
+    async def read(self):
+        """Return bytes of one or more whole events, ``b''`` at the end."""
+        while self.tail is None:
+            chunk = await self._read_chunk()
+            data = self._partial + chunk if self._partial else chunk
+            if data.endswith(STREAM_END):
+                data, self.tail = _split_tail(data)
+                self._partial = b''
+            else:
+                cut = data.rfind(EVENT_END) + len(EVENT_END)
+                if cut < len(EVENT_END):
+                    self._partial = data
+                    continue
+                data = self._hold_usage(data, cut)
+            if data:
+                self.events += data.count(EVENT_END)
+                return data
+        return b''
+
+    def _hold_usage(self, data, cut):
+        """Keep back a partial event, and the usage event before the end."""
+        last = data.rfind(EVENT_END, 0, cut - len(EVENT_END))
+        start = last + len(EVENT_END) if last >= 0 else 0
+        if USAGE_MARK in data[start:cut]:
+            cut = start
+        self._partial = data[cut:]
+        return data[:cut]
+
+    async def _read_chunk(self):
+        try:
+            chunk = await self._response.content.readany()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            chunk = b''
+        if not chunk:
+            raise errors.AnswerBroken(self._server.name).mark_ran(
+                errors.Ran.UNKNOWN
+            )
+        return chunk
+
+    async def drain(self):
+        """Read the connection to its end, so that it can be used again."""
+        with contextlib.suppress(
+            aiohttp.ClientError, asyncio.TimeoutError, OSError
+        ):
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await self._response.read()
+
+    def read_usage(self, work_id):
+        """Return the usage in the tail; raise if it names another request."""
+        event = self.tail[: -len(STREAM_END)].strip()
+        try:
+            final = _final_decoder.decode(event.removeprefix(b'data: '))
+        except msgspec.DecodeError:
+            raise errors.AnswerBroken(self._server.name).mark_ran(
+                errors.Ran.YES
+            ) from None
+        if final.id != work_id:
+            raise errors.AnswerCrossed(self._server.name).mark_ran(
+                errors.Ran.UNKNOWN
+            )
+        return final.usage
+
+
+def _split_tail(data):
+    """Split the usage event and the end marker off a stream's last bytes."""
+    body = data[: -len(STREAM_END)]
+    cut = body.rfind(EVENT_END, 0, max(len(body) - len(EVENT_END), 0))
+    start = cut + len(EVENT_END) if cut >= 0 else 0
+    if USAGE_MARK not in body[start:]:
+        start = len(body)
+    return data[:start], data[start:]
+
+
+async def cancel(session, server, work_id):
+    """Ask a server to stop a request; best effort."""
+    with contextlib.suppress(aiohttp.ClientError, asyncio.TimeoutError):
+        async with session.post(
+            f'{server.instance.address}/cancel/{work_id}',
+            timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
+        ):
+            return
--- /dev/null
+++ b/arbutuschute/links/log.py
@@ -0,0 +1,186 @@
+"""Link to the platform's append-only log service.
+
+The adapter is thin: ``LogClient`` speaks the service's HTTP shape, and
+``Tail`` is the task that owns a reading position in one stream.
+"""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import reactivex
+from returns import result
+
+from arbutuschute import errors
+
+READ_WAIT_S = 1.0
+READ_LIMIT_RECORDS = 1000
+PAUSE_AFTER_FAILURE_S = 0.2
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One log record; ``time`` is the log's own clock, seconds."""
+
+    offset: int
+    time: float
+    value: msgspec.Raw
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Records from a position on; ``head`` is the next free offset."""
+
+    first: int
+    head: int
+    records: tuple[Record, ...] = ()
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    offset: int
+
+
+class LogClient:
+    """Appends to and reads from the log; each call is one HTTP request."""
+
+    __slots__ = ('_session', '_base', '_reader', '_timeout_s')
+
+    def __init__(self, session, base, reader, timeout_s):
+        self._session = session
+        self._base = base
+        self._reader = reader
+        self._timeout_s = timeout_s
+
+    async def append(self, stream, value):
+        """Return ``Result`` with the offset of the appended ``value``.
+
+        A failure is ambiguous: the append may have taken effect, or may
+        still do so later.
+        """
+        return await self._call(
+            _Appended,
+            'POST',
+            f'{self._base}/log/{stream}',
+            data=value,
+            timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+        )
+
+    async def read(self, stream, start, wait_s=0.0):
+        """Return ``Result`` with a ``Page`` from offset ``start`` on."""
+        return await self._call(
+            Page,
+            'GET',
+            f'{self._base}/log/{stream}',
+            params={
+                'from': str(start),
+                'limit': str(READ_LIMIT_RECORDS),
+                'wait_ms': str(int(wait_s * 1000)),
+            },
+            timeout=aiohttp.ClientTimeout(total=self._timeout_s + wait_s),
+        )
+
+    async def _call(self, kind, method, url, **options):
+        try:
+            async with self._session.request(
+                method, url, headers={'X-Instance': self._reader}, **options
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    return result.Failure(errors.StoreDown(url))
+                return result.Success(msgspec.json.decode(body, type=kind))
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            msgspec.DecodeError,
+            OSError,
+        ):
+            return result.Failure(errors.StoreDown(url))
+
+
+class Tail:
+    """The task that follows one stream and publishes its records.
+
+    ``records`` is an observable of ``Record``; ``confirmed_at`` is the
+    latest time at which the position is known to have been the head.
+    """
+
+    __slots__ = (
+        'confirmed_at',
+        'failing_since',
+        'first',
+        'first_time',
+        'gap',
+        'head',
+        'position',
+        'records',
+        '_client',
+        '_moved',
+        '_stream',
+        '_timer',
+    )
+
+    def __init__(self, client, stream, timer, position=0):
+        self._client = client
+        self._stream = stream
+        self._timer = timer
+        self._moved = asyncio.Condition()
+        self.records = reactivex.Subject()
+        self.position = position
+        self.head = None
+        self.confirmed_at = None
+        self.failing_since = None
+        self.first = None
+        self.first_time = None
+        self.gap = False
+
+    async def run(self):
+        """Read on for ever."""
+        while True:
+            if not await self.read_once(READ_WAIT_S):
+                await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
+
+    async def read_once(self, wait_s=0.0):
+        """Read one page; tell whether the log answered."""
+        asked_at = self._timer.now()
+        wait_s = wait_s if self.head is not None else 0.0
+        answer = await self._client.read(self._stream, self.position, wait_s)
+        page = answer.value_or(None)
+        if page is None:
+            if self.failing_since is None:
+                self.failing_since = asked_at
+            return False
+        self.failing_since = None
+        self._note_start(page)
+        for record in page.records:
+            self.accept(record)
+        self.head = page.head
+        if self.position >= page.head:
+            self.confirmed_at = asked_at
+        async with self._moved:
+            self._moved.notify_all()
+        return True
+
+    def _note_start(self, page):
+        """Notice records that the log dropped before we read them."""
+        if self.first is None:
+            self.first = page.first
+            self.position = max(self.position, page.first)
+            if page.records:
+                self.first_time = page.records[0].time
+        elif page.first > self.position:
+            self.gap = True
+            self.position = page.first
+
+    def accept(self, record):
+        """Publish a record and move on, unless it was seen before."""
+        if record.offset < self.position:
+            return
+        self.position = record.offset + 1
+        self.records.on_next(record)
+
+    async def wait_past(self, offset):
+        """Return once the record at ``offset`` has been published."""
+        async with self._moved:
+            await self._moved.wait_for(lambda: self.position > offset)
+
+    async def wait_for_records(self):
+        """Return once the position has moved on."""
+        await self.wait_past(self.position)
--- /dev/null
+++ b/arbutuschute/links/operators.py
@@ -0,0 +1,129 @@
+"""Link to operators: status, histograms and explanations of a router."""
+
+from aiohttp import web
+import msgspec
+
+from arbutuschute.contracts import fold
+from arbutuschute import errors
+from arbutuschute.policy import choice
+from arbutuschute.policy import rollout
+from arbutuschute import running
+
+
+class OperatorsLink:
+    """HTTP handlers for operators, on an address of their own."""
+
+    __slots__ = ('_environment',)
+
+    def __init__(self, environment):
+        self._environment = environment
+
+    def make_app(self):
+        """Return the aiohttp application for operators."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/status', self.handle_status),
+                web.get('/histograms', self.handle_histograms),
+                web.get('/explain', self.handle_explain),
+            ]
+        )
+        return app
+
+    async def handle_status(self, request):
+        """Tell how this instance stands."""
+        environment = self._environment
+        now = environment.timer.now()
+        configuration = environment.configuration
+        return _answer(
+            {
+                'instance': environment.name,
+                'incarnation': environment.incarnation,
+                'zone': environment.settings.zone,
+                'region': environment.settings.region,
+                'state': environment.state,
+                'offset': configuration.offset,
+                'digest': fold.compute_digest(configuration),
+                'confirmed': running.is_confirmed(environment),
+                'peers': sorted(
+                    m.name for m in environment.membership.find_live(now)
+                ),
+                'silent': environment.membership.find_silent(now),
+                'in_flight': environment.admission.in_flight,
+                'unsettled_bills': environment.keeping.unsettled,
+                'kept_bills': len(environment.kept),
+                'counters': dict(environment.metrics.totals),
+            }
+        )
+
+    async def handle_histograms(self, request):
+        """Give percentiles for each organisation and class."""
+        return _answer(self._environment.metrics.summarize())
+
+    async def handle_explain(self, request):
+        """Tell where a request would go, and why."""
+        environment = self._environment
+        name = request.query.get('profile', '')
+        published = environment.configuration.profiles.get(name)
+        if published is None or published.document is None:
+            failure = errors.UnknownProfile(name)
+            return _answer(
+                errors.describe_problem(failure), failure.http_status
+            )
+        profile = published.document
+        organisation = request.query.get('organisation')
+        key = request.query.get('session', '')
+        return _answer(
+            {
+                'profile': name,
+                'revision': published.revision,
+                'allowed': organisation in profile.organisations,
+                'confirmed': running.is_confirmed(environment),
+                'models': [
+                    self._explain_model(profile, model, key)
+                    for model in profile.find_models()
+                ],
+                'service': profile.service,
+            }
+        )
+
+    def _explain_model(self, profile, model, key):
+        environment = self._environment
+        configuration = environment.configuration
+        version = rollout.choose_version(profile, model, configuration, key)
+        servers = (
+            environment.fleet.find_version(
+                model, version.version, environment.timer.now()
+            )
+            if version
+            else []
+        )
+        return {
+            'model': model,
+            'version': version.version if version else None,
+            'withdrawn': sorted(
+                entry.version
+                for entry in profile.versions
+                if entry.model == model
+                and configuration.is_withdrawn(model, entry.version)
+            ),
+            'shares': {
+                f'{rule.old} -> {rule.new}': rollout.find_share(
+                    profile, rule, configuration
+                )
+                for rule in profile.replacements
+                if rule.model == model
+            },
+            'servers': {
+                server.name: round(choice.estimate_load(server), 3)
+                for server in servers
+            },
+        }
+
+
+def _answer(document, status=200):
+    return web.Response(
+        body=msgspec.json.encode(document),
+        content_type='application/json',
+        status=status,
+    )
--- /dev/null
+++ b/arbutuschute/links/peer.py
@@ -0,0 +1,134 @@
+"""Link to the other routers: CURVE-encrypted push and pull sockets.
+
+One task owns the receiving socket and one each the sending sockets.
+Delivery is best effort: what must arrive is acknowledged by a message of
+its own, and a full or missing connection drops and counts.
+"""
+
+import reactivex
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from arbutuschute import messages
+
+SEND_QUEUE_MESSAGES = 1000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2000
+HANDSHAKE_MS = 3000
+ANY_DOMAIN = '*'
+
+
+class _FleetKeys:
+    """Admits routers that hold the fleet's key and counts strangers."""
+
+    def __init__(self, public_key, metrics):
+        self._public_key = public_key
+        self._metrics = metrics
+
+    def callback(self, domain, key):
+        """Tell whether a connecting client's key is the fleet's."""
+        admitted = zmq.utils.z85.encode(key) == self._public_key
+        if not admitted:
+            self._metrics.count('peers.strangers')
+        return admitted
+
+
+class PeerLink:
+    """Sends to peers by name and publishes what they send.
+
+    ``received`` is an observable of messages.
+    """
+
+    __slots__ = (
+        '_authenticator',
+        '_context',
+        '_keys',
+        '_metrics',
+        '_pull',
+        '_pushes',
+        'received',
+    )
+
+    def __init__(self, peers, metrics):
+        self._keys = (peers.public_key.encode(), peers.secret_key.encode())
+        self._metrics = metrics
+        self._context = zmq.asyncio.Context()
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._pushes = {}
+        self.received = reactivex.Subject()
+        self._pull = self._bind(peers)
+
+    def _bind(self, peers):
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            ANY_DOMAIN, _FleetKeys(self._keys[0], self._metrics)
+        )
+        socket = self._context.socket(zmq.PULL)
+        socket.curve_server = True
+        socket.curve_publickey, socket.curve_secretkey = self._keys
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.bind(f'tcp://{peers.host}:{peers.port}')
+        return socket
+
+    async def run(self):
+        """Receive for ever."""
+        while True:
+            raw = await self._pull.recv()
+            self._metrics.count('peers.bytes_in', len(raw))
+            message = messages.decode(raw)
+            if message is None:
+                self._metrics.count('peers.malformed')
+                continue
+            self._metrics.count('peers.messages_in')
+            self.received.on_next(message)
+
+    def connect(self, addresses):
+        """Hold one connection to each address of a name-to-address map."""
+        for name in [n for n in self._pushes if n not in addresses]:
+            self._pushes.pop(name)[1].close()
+        for name, address in addresses.items():
+            known = self._pushes.get(name)
+            if known and known[0] == address:
+                continue
+            if known:
+                known[1].close()
+            self._pushes[name] = (address, self._open(address))
+
+    def _open(self, address):
+        socket = self._context.socket(zmq.PUSH)
+        socket.curve_publickey, socket.curve_secretkey = self._keys
+        socket.curve_serverkey = self._keys[0]
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        socket.connect(f'tcp://{address}')
+        return socket
+
+    def send(self, name, message):
+        """Send to a peer if it is connected; tell whether it was queued."""
+        known = self._pushes.get(name)
+        if known is None:
+            return False
+        raw = messages.encode(message)
+        try:
+            zmq.Socket.send(known[1], raw, zmq.NOBLOCK)
+        except zmq.Again:
+            self._metrics.count('peers.dropped')
+            return False
+        self._metrics.count('peers.bytes_out', len(raw))
+        self._metrics.count('peers.messages_out')
+        return True
+
+    def close(self):
+        """Close all sockets."""
+        for _, socket in self._pushes.values():
+            socket.close()
+        self._pull.close()
+        self._authenticator.stop()
+        self._context.term()
--- /dev/null
+++ b/arbutuschute/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, benchmarks and experiments."""
--- /dev/null
+++ b/arbutuschute/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: routers, engines and plain services as the platform lists them."""
--- /dev/null
+++ b/arbutuschute/machines/instances.py
@@ -0,0 +1,60 @@
+"""Instances as the platform's list shows them; the list lags."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+from returns import result
+
+from arbutuschute import errors
+
+LIST_TIMEOUT_S = 2.0
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One live or leaving instance.
+
+    ``versions`` are ``model:version`` names that an engine has loaded, and
+    ``checks_fencing`` tells whether it refuses orders with an old number.
+    """
+
+    name: str
+    kind: typing.Literal['router', 'engine', 'service']
+    zone: str
+    region: str
+    address: str = ''
+    peer_address: str = ''
+    operators_address: str = ''
+    state: typing.Literal['live', 'leaving'] = 'live'
+    versions: tuple[str, ...] = ()
+    service: str = ''
+    checks_fencing: bool = False
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """The platform's answer."""
+
+    instances: tuple[Instance, ...]
+
+
+async def fetch_instances(session, url, reader):
+    """Return ``Result`` with the platform's current instances."""
+    try:
+        async with session.get(
+            f'{url}/instances',
+            headers={'X-Instance': reader},
+            timeout=aiohttp.ClientTimeout(total=LIST_TIMEOUT_S),
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                return result.Failure(errors.StoreDown('instance list'))
+            listed = msgspec.json.decode(body, type=InstanceList)
+            return result.Success(listed.instances)
+    except (
+        aiohttp.ClientError,
+        asyncio.TimeoutError,
+        msgspec.DecodeError,
+        OSError,
+    ):
+        return result.Failure(errors.StoreDown('instance list'))
--- /dev/null
+++ b/arbutuschute/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions of what they are given, without I/O."""
--- /dev/null
+++ b/arbutuschute/policy/rollout.py
@@ -0,0 +1,77 @@
+"""Which version a request runs on, given how far each roll-out is."""
+
+from arbutuschute.contracts import fold
+from arbutuschute.zones import rendezvous
+
+
+def choose_version(profile, model, configuration, key):
+    """Return the ``Version`` for new work on a model, or None.
+
+    ``key`` (a session, or else a request) falls on a fixed point of each
+    roll-out, so that every instance chooses alike at the same step.
+    """
+    entries = {
+        entry.version: entry
+        for entry in profile.versions
+        if entry.model == model
+    }
+    rules = {r.old: r for r in profile.replacements if r.model == model}
+    replaced = {rule.new for rule in rules.values()}
+    for start in [version for version in entries if version not in replaced]:
+        found = _follow(profile, start, rules, configuration, model, key)
+        if found is not None:
+            return entries[found]
+    return None
+
+
+def _follow(profile, version, rules, configuration, model, key):
+    """Walk a chain of replacements; return where this key comes to rest."""
+    found = None
+    while True:
+        if not configuration.is_withdrawn(model, version):
+            found = version
+        rule = rules.get(version)
+        if rule is None:
+            return found
+        share = find_share(profile, rule, configuration)
+        point = rendezvous.place(f'{profile.name}/{model}:{rule.new}/{key}')
+        if found is not None and point >= share:
+            return found
+        version = rule.new
+
+
+def find_share(profile, rule, configuration):
+    """Return the share of new sessions that a replacement has reached."""
+    name = fold.name_rollout(profile.name, rule.model, rule.new)
+    progress = configuration.rollouts.get(name)
+    if (
+        progress is None
+        or progress.halted
+        or configuration.is_withdrawn(rule.model, rule.new)
+    ):
+        return 0.0
+    return rule.steps[progress.step]
+
+
+def is_settled(profile, version, configuration):
+    """Tell whether a version is past its roll-out, or was never in one."""
+    for rule in profile.replacements:
+        if (rule.model, rule.new) == version.pair:
+            return find_share(profile, rule, configuration) >= 1.0
+    return True
+
+
+def find_successor(profile, model, version, configuration, key):
+    """Return where a session on a withdrawn version goes, or None."""
+    rules = {r.old: r for r in profile.replacements if r.model == model}
+    seen = set()
+    while version in rules and version not in seen:
+        seen.add(version)
+        version = rules[version].new
+        if not configuration.is_withdrawn(model, version):
+            return next(
+                entry
+                for entry in profile.versions
+                if entry.pair == (model, version)
+            )
+    return choose_version(profile, model, configuration, key)
--- /dev/null
+++ b/arbutuschute/standin/demo.py
@@ -0,0 +1,193 @@
+"""The first run: example requests of both deployments, and their bills."""
+
+import asyncio
+import pathlib
+
+import aiohttp
+import click
+
+from arbutuschute.cli import output
+from arbutuschute.contracts import changes
+from arbutuschute.contracts import profiles
+from arbutuschute import daemon
+from arbutuschute import desk
+from arbutuschute import documents
+from arbutuschute.standin import world as world_module
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+BILLS_WITHIN_S = 3.0
+ENGINES = (
+    ('rapport-1', 'mtl-a', ('rapport:2026-09', 'rapport-petit:2026-09')),
+    ('rapport-2', 'sherbrooke-a', ('rapport:2026-11',)),
+    ('etiqueta-1', 'mtl-a', ('etiqueta:7',)),
+)
+REQUESTS = (
+    {
+        'what': 'draft a report',
+        'key': 'example-key-dispatch',
+        'path': '/v1/chat/completions',
+        'headers': {'X-Class': 'certificate', 'X-Session': 'report-4711'},
+        'json': {
+            'model': 'inspection-reports',
+            'stream': True,
+            'max_tokens': 12,
+            'messages': [
+                {'role': 'user', 'content': 'Draft: flue 3, soot, no leak.'}
+            ],
+        },
+    },
+    {
+        'what': 'summarize notes',
+        'key': 'example-key-insurer',
+        'path': '/v1/chat/completions',
+        'headers': {'X-Class': 'summary'},
+        'json': {
+            'model': 'inspection-reports',
+            'max_tokens': 8,
+            'messages': [
+                {'role': 'user', 'content': 'Summarize: damper stuck open.'}
+            ],
+        },
+    },
+    {
+        'what': 'book a visit',
+        'key': 'example-key-dispatch',
+        'path': '/services/site-visits/bookings',
+        'headers': {'Idempotency-Key': 'visit-flue-3'},
+        'json': {'address': '12, rue des Tuyaux', 'day': '2026-12-14'},
+    },
+    {
+        'what': 'book it again',
+        'key': 'example-key-dispatch',
+        'path': '/services/site-visits/bookings',
+        'headers': {'Idempotency-Key': 'visit-flue-3'},
+        'json': {'address': '12, rue des Tuyaux', 'day': '2026-12-14'},
+    },
+    {
+        'what': 'print a pallet label',
+        'key': 'example-key-cooperative',
+        'path': '/v1/chat/completions',
+        'headers': {'Idempotency-Key': 'pallet-881', 'X-Class': 'tag'},
+        'json': {
+            'model': 'pallet-labels',
+            'max_tokens': 6,
+            'messages': [{'role': 'user', 'content': 'Lot 881, arveja.'}],
+        },
+    },
+    {
+        'what': 'ask for what is not allowed',
+        'key': 'example-key-cooperative',
+        'path': '/v1/chat/completions',
+        'headers': {},
+        'json': {'model': 'inspection-reports', 'messages': []},
+    },
+)
+
+
+async def run(serve):
+    """Run the demonstration; with ``serve``, stay until interrupted."""
+    world = world_module.World()
+    chosen = await _start_stand_ins(world)
+    router = daemon.Router(chosen, asyncio.get_running_loop())
+    async with aiohttp.ClientSession() as session:
+        at = desk.Desk(session, world.platform_address)
+        await _publish_examples(at)
+        await router.start()
+        base = f'http://{chosen.listen.host}:{chosen.listen.port}'
+        rows = [await _send(session, base, request) for request in REQUESTS]
+        output.print_table('Requests', rows)
+        await _show_bills(at, 4)
+        await _show_histograms(at)
+        if serve:
+            await _serve_on(base, world.platform_address)
+    await router.stop()
+    await world.close()
+
+
+async def _start_stand_ins(world):
+    await world.start_platform()
+    for name, zone, versions in ENGINES:
+        await world.start_engine(name, zone, 'qc-sud', versions)
+    await world.start_service('booking', 'mtl-a', 'qc-sud')
+    raw = world_module.make_settings(
+        'mtl-a-1',
+        'mtl-a',
+        'qc-sud',
+        world.platform_address,
+        world_module.make_keys(),
+        leave_s=0.05,
+    )
+    chosen = world_module.read_settings(raw)
+    world.add_router(chosen)
+    return chosen
+
+
+async def _publish_examples(at):
+    for path in sorted(EXAMPLES.glob('*/*.json')):
+        raw = documents.read_json(path).unwrap()
+        if 'key_hash' in raw:
+            change = changes.PublishOrganisation(
+                id=desk.make_id(),
+                document=profiles.check_organisation(raw).unwrap(),
+                based_on=-1,
+            )
+        else:
+            change = changes.PublishProfile(
+                id=desk.make_id(),
+                document=profiles.check_profile(raw).unwrap(),
+                based_on=-1,
+            )
+        (await at.apply_change(change)).unwrap()
+
+
+async def _send(session, base, request):
+    """Send one example request; return a row about its answer."""
+    async with session.post(
+        base + request['path'],
+        json=request['json'],
+        headers={
+            'Authorization': f'Bearer {request["key"]}',
+            **request['headers'],
+        },
+    ) as response:
+        text = await response.text()
+        headers = response.headers
+    return {
+        'request': request['what'],
+        'status': response.status,
+        'version': ':'.join(
+            headers[name] for name in ('X-Model', 'X-Version')
+            if name in headers
+        ),
+        'server': headers.get('X-Backend-Server'),
+        'replayed': headers.get('X-Replayed'),
+        'answer': text.replace('\n', ' ')[-46:].strip(),
+    }  # fmt: skip
+
+
+async def _show_bills(at, expected):
+    """Show the bills once they have reached the log."""
+    loop = asyncio.get_running_loop()
+    limit = loop.time() + BILLS_WITHIN_S
+    counted = {}
+    while len(counted) < expected and loop.time() < limit:
+        counted = (await at.read_bills()).value_or({})
+        await asyncio.sleep(desk.POLL_PERIOD_S)
+    output.print_table('Bills', desk.sum_bills(counted))
+
+
+async def _show_histograms(at):
+    answers = (await at.ask_routers('histograms')).unwrap()
+    rows = [
+        {'measure': measure, **summary}
+        for answer in answers.values()
+        for measure, summary in answer.items()
+    ]
+    output.print_table('Latency, milliseconds', rows)
+
+
+async def _serve_on(base, platform_address):
+    click.echo(f'Callers:  {base}')
+    click.echo(f'Platform: export ARBUTUSCHUTE_PLATFORM={platform_address}')
+    click.echo('Interrupt to stop.')
+    await asyncio.Event().wait()
--- /dev/null
+++ b/arbutuschute/standin/engine.py
@@ -0,0 +1,302 @@
+"""Stand-in for a model engine: batches, streams, resumes, reports load."""
+
+import asyncio
+import collections
+import heapq
+import itertools
+import time
+
+from aiohttp import web
+import msgspec
+
+from arbutuschute.standin import faults
+
+SLOTS = 32
+FIRST_TOKEN_S = 0.02
+TOKEN_S = 0.002
+REPORT_EVERY_S = 0.5
+DEFAULT_TOKENS = 16
+END = b'data: [DONE]\n\n'
+
+
+class Run(msgspec.Struct):
+    """One request that this engine ran."""
+
+    request: str
+    model: str
+    tokens: int = 0
+    finished: bool = False
+    attempts: int = 1
+
+
+class Slots:
+    """A bounded number of running requests; lower priority numbers first."""
+
+    __slots__ = ('_order', '_waiting', 'free')
+
+    def __init__(self, count):
+        self.free = count
+        self._waiting = []
+        self._order = itertools.count()
+
+    @property
+    def waiting(self):
+        """How many requests wait for a slot."""
+        return len(self._waiting)
+
+    async def enter(self, priority):
+        """Wait for a slot."""
+        if self.free > 0:
+            self.free -= 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (priority, next(self._order), turn))
+        await turn
+
+    def leave(self):
+        """Give the slot to the next in line."""
+        while self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.free += 1
+
+
+class Engine:
+    """State of one engine's stand-in and its HTTP handlers."""
+
+    __slots__ = (
+        'cancelled',
+        'checks_fencing',
+        'fence',
+        'leaving',
+        'name',
+        'orders',
+        'report',
+        'runs',
+        'slots',
+        'switches',
+        'token_s',
+        'total_slots',
+        'versions',
+    )
+
+    def __init__(
+        self, name, versions, slots=SLOTS, token_s=TOKEN_S, checks_fencing=True
+    ):
+        self.name = name
+        self.versions = set(versions)
+        self.slots = Slots(slots)
+        self.total_slots = slots
+        self.token_s = token_s
+        self.checks_fencing = checks_fencing
+        self.fence = -1
+        self.orders = []
+        self.leaving = False
+        self.switches = faults.Switchboard()
+        self.runs = collections.OrderedDict()
+        self.cancelled = set()
+        self.report = (0.0, {'running': 0, 'waiting': 0, 'slots': slots})
+
+    def make_app(self):
+        """Return the aiohttp application of this engine."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.add_routes(
+            [
+                web.post('/v1/chat/completions', self.handle_chat),
+                web.post('/cancel/{request}', self.handle_cancel),
+                web.get('/load', self.handle_load),
+                web.post('/orders', self.handle_order),
+                web.post('/control/faults', self.switches.handle_control),
+                web.post('/control/leaving', self.handle_leaving),
+                web.get('/control/runs', self.handle_runs),
+            ]
+        )
+        return app
+
+    def _refuse(self, reason):
+        return web.json_response({'reason': reason, 'ran': 'no'}, status=503)
+
+    async def handle_chat(self, request):
+        """Run one request and answer it whole or as a stream."""
+        body = msgspec.json.decode(await request.read())
+        request_id = request.headers['X-Request-Id']
+        resume_from = int(request.headers.get('X-Resume-From', '0'))
+        if self.leaving and not resume_from:
+            return self._refuse('leaving')
+        if self.switches.now.refuse:
+            return self._refuse('overloaded')
+        if body['model'] not in self.versions:
+            return self._refuse('model not loaded')
+        if self.switches.take('error'):
+            return web.json_response({'reason': 'failed'}, status=500)
+        if self.switches.take('hang'):
+            await faults.hang_forever()
+        await self.slots.enter(body.get('priority', 5))
+        try:
+            run = self._start_run(request_id, body['model'])
+            if self.switches.take('cross'):
+                request_id = 'another-request'
+            if body.get('stream'):
+                return await self._stream(
+                    request, body, request_id, run, resume_from
+                )
+            return await self._answer(body, request_id, run)
+        finally:
+            self.slots.leave()
+
+    def _start_run(self, request_id, model):
+        run = self.runs.get(request_id)
+        if run is None:
+            run = self.runs[request_id] = Run(request_id, model)
+        else:
+            run.attempts += 1
+        return run
+
+    async def _answer(self, body, request_id, run):
+        tokens = body.get('max_tokens', DEFAULT_TOKENS)
+        pace_s = self.token_s * self.switches.now.slow_factor
+        await asyncio.sleep(FIRST_TOKEN_S + tokens * pace_s)
+        run.tokens = tokens
+        run.finished = True
+        text = ''.join(make_token(run.request, i) for i in range(tokens))
+        return web.json_response(
+            {
+                'id': request_id,
+                'model': run.model,
+                'choices': [{'message': {'content': text}}],
+                'usage': count_usage(body, tokens),
+                'confidence': rate_confidence(run.request),
+            },
+            headers={'X-Request-Id': request_id},
+        )
+
+    async def _stream(self, request, body, request_id, run, start):
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'X-Request-Id': request_id,
+            }
+        )
+        await response.prepare(request)
+        tokens = body.get('max_tokens', DEFAULT_TOKENS)
+        pace_s = self.token_s * self.switches.now.slow_factor
+        await asyncio.sleep(FIRST_TOKEN_S)
+        due = time.monotonic()
+        index = start
+        while index < tokens:
+            if run.request in self.cancelled:
+                return response
+            if self._breaks_at(index - start):
+                request.transport.abort()
+                return response
+            due += pace_s
+            ready = 1
+            late = time.monotonic() - due
+            if late < 0:
+                await asyncio.sleep(-late)
+            elif pace_s:
+                ready = 1 + int(late / pace_s)
+                due += (ready - 1) * pace_s
+            else:
+                ready = 8
+            ready = min(ready, tokens - index)
+            await response.write(
+                b''.join(
+                    encode_event(request_id, run.request, index + step)
+                    for step in range(ready)
+                )
+            )
+            index += ready
+            run.tokens = index
+        run.finished = True
+        usage = {
+            'id': request_id,
+            'choices': [],
+            'usage': count_usage(body, tokens),
+        }
+        await response.write(
+            b'data: ' + msgspec.json.encode(usage) + b'\n\n' + END
+        )
+        return response
+
+    def _breaks_at(self, sent):
+        return sent == self.switches.now.break_after and self.switches.take(
+            'breaks'
+        )
+
+    async def handle_cancel(self, request):
+        """Stop a running request."""
+        self.cancelled.add(request.match_info['request'])
+        return web.json_response({})
+
+    async def handle_load(self, request):
+        """Report load as it was up to half a second ago."""
+        now = time.monotonic()
+        if now - self.report[0] > REPORT_EVERY_S:
+            running = self.total_slots - self.slots.free
+            self.report = (
+                now,
+                {
+                    'running': running,
+                    'waiting': self.slots.waiting,
+                    'slots': self.total_slots,
+                    'versions': sorted(self.versions),
+                },
+            )
+        return web.json_response(self.report[1])
+
+    async def handle_order(self, request):
+        """Load or unload a version; refuse an old fence if this engine can."""
+        order = msgspec.json.decode(await request.read())
+        if self.checks_fencing and order['fence'] < self.fence:
+            return web.json_response({'reason': 'old fence'}, status=409)
+        self.fence = max(self.fence, order['fence'])
+        self.orders.append(order)
+        if order['action'] == 'load':
+            self.versions.add(order['version'])
+        elif order['action'] == 'unload':
+            self.versions.discard(order['version'])
+        return web.json_response({})
+
+    async def handle_leaving(self, request):
+        """Refuse new work from now on."""
+        self.leaving = True
+        return web.json_response({})
+
+    async def handle_runs(self, request):
+        """Tell a test what ran here."""
+        return web.Response(
+            body=msgspec.json.encode(
+                {'runs': list(self.runs.values()), 'orders': self.orders}
+            )
+        )
+
+
+def make_token(request_id, index):
+    """Return the text of one token; the same request gets the same text."""
+    return f'{request_id[-6:]}.{index} '
+
+
+def encode_event(shown_id, request_id, index):
+    """Return one server-sent event with one token."""
+    token = make_token(request_id, index)
+    return (
+        f'data: {{"id":"{shown_id}","choices":'
+        f'[{{"delta":{{"content":"{token}"}}}}]}}\n\n'
+    ).encode()
+
+
+def count_usage(body, tokens):
+    """Return the usage member of an answer."""
+    prompt = sum(
+        len(str(message.get('content', '')).split())
+        for message in body.get('messages', [])
+    )
+    return {'prompt_tokens': prompt, 'completion_tokens': tokens}
+
+
+def rate_confidence(request_id):
+    """Return a confidence in 0..1 that depends on the request alone."""
+    return sum(request_id.encode()) % 100 / 100
--- /dev/null
+++ b/arbutuschute/work.py
@@ -0,0 +1,72 @@
+"""One request as the router handles it, from reading to its bill."""
+
+from arbutuschute.contracts import profiles
+from arbutuschute import errors
+
+DEFAULT_CLASS = 'default'
+_DEFAULT_WORK_CLASS = profiles.WorkClass()
+_RAN_ORDER = (errors.Ran.NO, errors.Ran.UNKNOWN, errors.Ran.YES)
+
+
+class Work:
+    """A checked request and what became of it so far."""
+
+    __slots__ = (
+        'answer_started',
+        'bill_id',
+        'body',
+        'class_name',
+        'deadline_at',
+        'deadline_ms',
+        'fingerprint',
+        'id',
+        'key',
+        'method',
+        'model',
+        'organisation',
+        'path',
+        'profile',
+        'ran',
+        'received_at',
+        'session',
+        'stream',
+        'token',
+    )
+
+    def __init__(self, work_id, organisation, profile, received_at):
+        self.id = work_id
+        self.bill_id = work_id
+        self.organisation = organisation
+        self.profile = profile
+        self.received_at = received_at
+        self.answer_started = False
+        self.body = None
+        self.class_name = DEFAULT_CLASS
+        self.deadline_at = received_at
+        self.deadline_ms = 0
+        self.fingerprint = ''
+        self.key = None
+        self.method = 'POST'
+        self.model = None
+        self.path = ''
+        self.ran = errors.Ran.NO
+        self.session = None
+        self.stream = False
+        self.token = None
+
+    @property
+    def work_class(self):
+        """The profile's class of this work."""
+        return self.profile.classes.get(self.class_name, _DEFAULT_WORK_CLASS)
+
+    @property
+    def run_key(self):
+        """What a roll-out's share is drawn from: the session, or this."""
+        if self.session:
+            return f'{self.organisation.name}/{self.session}'
+        return self.id
+
+    def note_attempt(self, ran):
+        """Remember the most that any attempt may have run."""
+        if _RAN_ORDER.index(ran) > _RAN_ORDER.index(self.ran):
+            self.ran = ran
--- /dev/null
+++ b/arbutuschute/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Regions, availability zones and the routers that live in them."""
--- /dev/null
+++ b/arbutuschute/zones/membership.py
@@ -0,0 +1,165 @@
+"""Which routers live: the platform's lagging list and peers heard from."""
+
+import enum
+
+import msgspec
+
+from arbutuschute.zones import rendezvous
+
+DEAD_AFTER_SUSPICIONS = 2.0
+
+
+class Liveness(enum.Enum):
+    """How sure we are that a member is there."""
+
+    LIVE = 'live'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+
+
+class Member(msgspec.Struct):
+    """One router as its peers see it; times are on our clock."""
+
+    name: str
+    zone: str
+    region: str
+    incarnation: int = 0
+    state: str = 'live'
+    heard_at: float = float('-inf')
+    sent_at: float | None = None
+    stated_at: float | None = None
+    offset: int = -1
+    confirmed_age_s: float | None = None
+    store_down: bool = False
+    in_flight: int = 0
+
+
+class Membership:
+    """Members by name; the own instance is not among them."""
+
+    __slots__ = ('_dead', 'me', 'members', 'suspect_s', 'zone', 'region')
+
+    def __init__(self, me, zone, region, suspect_s):
+        self.me = me
+        self.zone = zone
+        self.region = region
+        self.suspect_s = suspect_s
+        self.members = {}
+        self._dead = []
+
+    def list_routers(self, instances):
+        """Take over the platform's list; drop who is neither on it nor heard.
+
+        A member that left the list stays until it falls silent: the list
+        lags, and a peer that speaks is alive.
+        """
+        listed = {entry.name: entry for entry in instances}
+        listed.pop(self.me, None)
+        for name, entry in listed.items():
+            member = self.members.get(name)
+            if member is None:
+                self.members[name] = Member(name, entry.zone, entry.region)
+        return listed
+
+    def forget_gone(self, listed, now):
+        """Remove members that are off the list and silent."""
+        for name, member in list(self.members.items()):
+            if name not in listed and self.judge(member, now) != Liveness.LIVE:
+                self._bury(member)
+                del self.members[name]
+
+    def hear(self, heartbeat, now):
+        """Take in a heartbeat; one of an older incarnation is ignored."""
+        member = self.members.get(heartbeat.sender)
+        if member is None:
+            member = Member(heartbeat.sender, heartbeat.zone, heartbeat.region)
+            self.members[heartbeat.sender] = member
+        if heartbeat.incarnation < member.incarnation:
+            return
+        if heartbeat.incarnation > member.incarnation:
+            self._bury(member)
+            member.incarnation = heartbeat.incarnation
+            member.sent_at = None
+            member.stated_at = None
+        if member.sent_at is not None and heartbeat.sent_at < member.sent_at:
+            return
+        member.heard_at = now
+        member.sent_at = heartbeat.sent_at
+        member.state = heartbeat.state
+        member.offset = heartbeat.offset
+        member.confirmed_age_s = heartbeat.confirmed_age_s
+        member.store_down = heartbeat.store_down
+        member.stated_at = heartbeat.echo
+        member.in_flight = heartbeat.in_flight
+
+    def judge(self, member, now):
+        """Return how sure we are that a member lives."""
+        silent_s = now - member.heard_at
+        if silent_s <= self.suspect_s:
+            return Liveness.LIVE
+        if silent_s <= self.suspect_s * (1 + DEAD_AFTER_SUSPICIONS):
+            return Liveness.SUSPECT
+        return Liveness.DEAD
+
+    def find_live(self, now):
+        """Return the members heard from lately."""
+        return [
+            member
+            for member in self.members.values()
+            if self.judge(member, now) is Liveness.LIVE
+        ]
+
+    def find_silent(self, now):
+        """Return the names of listed members not heard from lately."""
+        return sorted(
+            member.name
+            for member in self.members.values()
+            if self.judge(member, now) is not Liveness.LIVE
+        )
+
+    def take_dead(self, now):
+        """Return (name, incarnation) of owners that will not come back.
+
+        Each is returned once: by silence, by a newer incarnation or by
+        leaving the list.
+        """
+        for member in self.members.values():
+            if member.incarnation and self.judge(member, now) is Liveness.DEAD:
+                self._bury(member)
+        dead, self._dead = self._dead, []
+        return dead
+
+    def _bury(self, member):
+        if member.incarnation:
+            self._dead.append((member.name, member.incarnation))
+            member.incarnation = 0
+
+    def rank_keepers(self, now):
+        """Return live (name, incarnation) pairs as they keep our bills.
+
+        Peers in other zones of the own region come first: they survive the
+        loss of our zone and answer without a crossing of the region link.
+        """
+
+        def distance(member):
+            if member.region != self.region:
+                return 2
+            return 1 if member.zone == self.zone else 0
+
+        live = {
+            member.name: member
+            for member in self.find_live(now)
+            if member.state == 'live'
+        }
+        ranked = rendezvous.rank(self.me, live)
+        ranked.sort(key=lambda name: distance(live[name]))
+        return [(name, live[name].incarnation) for name in ranked]
+
+    def rank_owners(self, key, now):
+        """Return all live routers, us included, by rank for ``key``."""
+        names = [
+            member.name
+            for member in self.find_live(now)
+            if member.state == 'live'
+        ]
+        return rendezvous.rank(key, [*names, self.me])
--- /dev/null
+++ b/arbutuschute/zones/rendezvous.py
@@ -0,0 +1,19 @@
+"""Rendezvous hashing: every instance picks the same names for a key."""
+
+import xxhash
+
+HASH_SPAN = 2**64
+
+
+def rank(key, names):
+    """Return ``names`` by descending weight for ``key``."""
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()),
+        reverse=True,
+    )
+
+
+def place(key):
+    """Return a point in [0, 1) that depends on ``key`` alone."""
+    return xxhash.xxh3_64_intdigest(key.encode()) / HASH_SPAN
