Differential tests of fold, claims, bills and versions; relays between zones

And the folds had no proof beyond scenarios. Excluded: gossip with random partners (a bound on the lease would be a matter of chance), one relay per zone (its loss would cut a zone off for a suspicion's time). Change: heartbeats go to the own zone and between two relays per zone; a statement about the log's head may rest on a peer's, its age counted from echoed times only; other peers are connected to when needed; loads are polled once per zone. Hypothesis drives fold, claims, bills and version choice against naive models with crashes, repeats and delays.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -98,8 +98,10 @@
         routers = environment.fleet.find_routers()
         others = environment.membership.list_routers(routers)
         environment.membership.forget_gone(others, environment.timer.now())
+        neighbours = environment.membership.find_neighbours()
         environment.peers.connect(
-            {name: entry.peer_address for name, entry in others.items()}
+            {name: entry.peer_address for name, entry in others.items()},
+            {member.name for member in neighbours},
         )
 
     def accept(self, message):
@@ -133,7 +135,6 @@
         environment.membership.hear(heartbeat, now)
         for report in heartbeat.reports:
             environment.fleet.accept_report(report, now)
-        environment.guard.hear(heartbeat)
         if (
             heartbeat.offset > environment.configuration.offset
             and environment.config_tail.failing_since is not None
@@ -152,9 +153,9 @@
         )
 
     def fetch_from_anyone(self):
-        """Ask every connected peer for the configuration."""
-        for name in self._environment.membership.members:
-            self._fetch_configuration(name)
+        """Ask every neighbour for the configuration."""
+        for member in self._environment.membership.find_neighbours():
+            self._fetch_configuration(member.name)
 
     def _keep_bills(self, message):
         environment = self._environment
@@ -171,11 +172,13 @@
     def _beat(self, now):
         environment = self._environment
         confirmed = running.renew_confirmation(environment, now)
-        own = environment.config_tail.confirmed_at
+        age_s = None
+        if confirmed:
+            lease_s = environment.settings.control.lease_s
+            age_s = lease_s - (environment.confirmed_until - now)
         polled = environment.fleet.make_reports(self._find_own_polls(now), now)
-        evidence = environment.guard.make_evidence()
-        for member in list(environment.membership.members.values()):
-            near = member.region == environment.settings.region
+        for member in environment.membership.find_neighbours():
+            mate = member.zone == environment.settings.zone
             environment.peers.send(
                 member.name,
                 messages.Heartbeat(
@@ -187,12 +190,11 @@
                     sent_at=now,
                     echo=member.sent_at,
                     offset=environment.configuration.offset,
-                    confirmed_age_s=None if own is None else now - own,
+                    confirmed_age_s=age_s,
                     store_down=(
                         environment.config_tail.failing_since is not None
                     ),
-                    reports=polled if near else (),
-                    evidence=evidence,
+                    reports=polled if mate else (),
                     in_flight=environment.admission.in_flight,
                 ),
             )
@@ -253,18 +255,19 @@
             environment.metrics.count('snapshots')
 
     def _find_own_polls(self, now):
-        """Return the servers whose load this instance asks for its region."""
+        """Return the engines whose load this instance asks for its zone."""
         environment = self._environment
         names = [
             member.name
             for member in environment.membership.find_live(now)
-            if member.region == environment.settings.region
+            if member.zone == environment.settings.zone
         ]
         names.append(environment.name)
         return [
             server.name
             for server in environment.fleet.servers.values()
             if server.instance.kind == 'engine'
+            and server.instance.region == environment.settings.region
             and rendezvous.rank(server.name, names)[0] == environment.name
         ]
 
--- a/arbutuschute/links/peer.py
+++ b/arbutuschute/links/peer.py
@@ -41,6 +41,7 @@
     """
 
     __slots__ = (
+        '_addresses',
         '_authenticator',
         '_context',
         '_keys',
@@ -57,6 +58,7 @@
         self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
             self._context
         )
+        self._addresses = {}
         self._pushes = {}
         self.received = reactivex.Subject()
         self._pull = self._bind(peers)
@@ -85,24 +87,29 @@
             self._metrics.count('peers.messages_in')
             self.received.on_next(message)
 
-    def connect(self, addresses):
-        """Hold one connection to each address of a name-to-address map."""
-        for name in [n for n in self._pushes if n not in addresses]:
-            self._pushes.pop(name)[1].close()
-        for name, address in addresses.items():
-            known = self._pushes.get(name)
-            if known and known[0] == address:
-                continue
-            if known:
-                known[1].close()
-            self._pushes[name] = (address, self._open(address))
+    def connect(self, addresses, neighbours):
+        """Take over the peers' addresses; connect to the neighbours.
+
+        Any other peer is connected to when there is something to send.
+        """
+        self._addresses = addresses
+        for name, (address, socket) in list(self._pushes.items()):
+            if addresses.get(name) != address:
+                socket.close()
+                del self._pushes[name]
+        for name in neighbours & addresses.keys() - self._pushes.keys():
+            self._connect(name, immediate=True)
 
-    def _open(self, address):
+    def _connect(self, name, immediate):
+        address = self._addresses[name]
+        self._pushes[name] = (address, self._open(address, immediate))
+
+    def _open(self, address, immediate):
         socket = self._context.socket(zmq.PUSH)
         socket.curve_publickey, socket.curve_secretkey = self._keys
         socket.curve_serverkey = self._keys[0]
         socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.IMMEDIATE, int(immediate))
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
@@ -111,10 +118,12 @@
         return socket
 
     def send(self, name, message):
-        """Send to a peer if it is connected; tell whether it was queued."""
-        known = self._pushes.get(name)
-        if known is None:
-            return False
+        """Send to a peer by name; tell whether the message was queued."""
+        if name not in self._pushes:
+            if name not in self._addresses:
+                return False
+            self._connect(name, immediate=False)
+        known = self._pushes[name]
         raw = messages.encode(message)
         try:
             zmq.Socket.send(known[1], raw, zmq.NOBLOCK)
--- a/arbutuschute/messages.py
+++ b/arbutuschute/messages.py
@@ -52,10 +52,15 @@
     confirmed_age_s: float | None = None
     store_down: bool = False
     reports: tuple[LoadReport, ...] = ()
-    evidence: tuple[Evidence, ...] = ()
     in_flight: int = 0
 
 
+class TellEvidence(Message, frozen=True, tag='te'):
+    """The sender's counters about roll-outs, for the judge of each."""
+
+    evidence: tuple[Evidence, ...]
+
+
 class FetchConfiguration(Message, frozen=True, tag='fc'):
     """Ask for the configuration records after ``offset``."""
 
@@ -116,6 +121,7 @@
 
 AnyMessage = (
     Heartbeat
+    | TellEvidence
     | FetchConfiguration
     | ConfigurationRecords
     | KeepBills
--- a/arbutuschute/running.py
+++ b/arbutuschute/running.py
@@ -23,7 +23,7 @@
         offset=environment.configuration.offset,
         confirmed_at=tail.confirmed_at,
         store_failing=tail.failing_since is not None,
-        members=tuple(environment.membership.members.values()),
+        members=tuple(environment.membership.find_neighbours()),
     )
 
 
--- a/arbutuschute/zones/lease.py
+++ b/arbutuschute/zones/lease.py
@@ -13,7 +13,9 @@
     """What one instance knows of the log at one moment.
 
     ``confirmed_at`` is the last time the own position was the head;
-    ``members`` are the peers, each with its last statement.
+    ``members`` are the neighbours, each with its last statement. What a
+    peer states may rest on what its own peers stated: passing it on never
+    makes it younger, because each step counts from an echoed time.
     """
 
     region: str
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -7,6 +7,7 @@
 from arbutuschute.zones import rendezvous
 
 DEAD_AFTER_SUSPICIONS = 2.0
+RELAYS_PER_ZONE = 2
 
 
 class Liveness(enum.Enum):
@@ -110,10 +111,10 @@
         ]
 
     def find_silent(self, now):
-        """Return the names of listed members not heard from lately."""
+        """Return the names of neighbours not heard from lately."""
         return sorted(
             member.name
-            for member in self.members.values()
+            for member in self.find_neighbours()
             if self.judge(member, now) is not Liveness.LIVE
         )
 
@@ -155,11 +156,54 @@
         ranked.sort(key=lambda name: distance(live[name]))
         return [(name, live[name].incarnation) for name in ranked]
 
+    def find_relays(self):
+        """Return the names of each zone's relays, by zone.
+
+        Every router works them out from the same list. A relay that falls
+        silent is replaced when the list drops it; until then the zone's
+        other relay carries on.
+        """
+        zones = {self.zone: [self.me]}
+        for member in self.members.values():
+            zones.setdefault(member.zone, []).append(member.name)
+        return {
+            zone: rendezvous.rank(zone, names)[:RELAYS_PER_ZONE]
+            for zone, names in zones.items()
+        }
+
+    def find_neighbours(self):
+        """Return the members that we exchange heartbeats with.
+
+        All of our zone; and if we are one of its relays, those of the
+        other zones. What a relay learns reaches its zone with its own
+        heartbeats.
+        """
+        relays = self.find_relays()
+        wanted = {
+            name
+            for name, member in self.members.items()
+            if member.zone == self.zone
+        }
+        if self.me in relays[self.zone]:
+            for names in relays.values():
+                wanted.update(names)
+        wanted.discard(self.me)
+        return [self.members[name] for name in sorted(wanted)]
+
     def rank_owners(self, key, now):
-        """Return all live routers, us included, by rank for ``key``."""
+        """Return routers, us included, by rank for ``key``.
+
+        Who is not a neighbour is taken to be there: the list has it, and
+        whoever asks it in vain goes on to the next.
+        """
+        neighbours = {member.name for member in self.find_neighbours()}
         names = [
-            member.name
-            for member in self.find_live(now)
+            name
+            for name, member in self.members.items()
             if member.state == 'live'
+            and (
+                name not in neighbours
+                or self.judge(member, now) is Liveness.LIVE
+            )
         ]
         return rendezvous.rank(key, [*names, self.me])
--- a/tests/scenarios/given_steps.py
+++ b/tests/scenarios/given_steps.py
@@ -7,12 +7,12 @@
 from pytest_bdd import parsers
 
 from tests import deployment
-from tests.scenarios import conftest
+from tests.scenarios import stage
 
 
 @given(parsers.parse('an engine "{name}" with versions "{versions}"'))
 def start_engine(world, name, versions):
-    world.run(world.deployed.start_engine(name, conftest.split(versions)))
+    world.run(world.deployed.start_engine(name, stage.split(versions)))
     if world.live_routers:
         world.run(asyncio.sleep(0.5))
 
@@ -30,7 +30,7 @@
 
 @given(parsers.parse('a profile "{name}" with versions "{versions}"'))
 def publish_profile(world, name, versions):
-    profile = deployment.make_profile(name, conftest.split(versions))
+    profile = deployment.make_profile(name, stage.split(versions))
     world.run(world.deployed.publish_basics(profile))
 
 
@@ -46,7 +46,7 @@
         'model': model,
         'old': old.split(':')[1],
         'new': new.split(':')[1],
-        'steps': [float(step) for step in conftest.split(steps)],
+        'steps': [float(step) for step in stage.split(steps)],
         'step_s': 3600.0,
     }
     profile = deployment.make_profile(name, (old, new), replacements=[rule])
@@ -55,7 +55,7 @@
 
 @given(parsers.parse('routers "{places}"'))
 def start_routers(world, places):
-    pairs = [place.split(' in ') for place in conftest.split(places)]
+    pairs = [place.split(' in ') for place in stage.split(places)]
     world.run(world.deployed.start_routers(*pairs))
 
 
@@ -141,7 +141,7 @@
 
 def make_reports(versions):
     """Return the profile document of a later publication."""
-    return deployment.make_profile('reports', conftest.split(versions))
+    return deployment.make_profile('reports', stage.split(versions))
 
 
 def read_revision(world, name='reports'):
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/stage.py
@@ -6,12 +6,6 @@
 
 from tests import deployment
 
-pytest_plugins = [
-    'tests.scenarios.given_steps',
-    'tests.scenarios.when_steps',
-    'tests.scenarios.then_steps',
-]
-
 
 class World:
     """Runs coroutines of a scenario on one loop and keeps its answers."""
--- a/tests/scenarios/then_steps.py
+++ b/tests/scenarios/then_steps.py
@@ -7,7 +7,7 @@
 from pytest_bdd import then
 
 from tests import deployment
-from tests.scenarios import conftest
+from tests.scenarios import stage
 
 
 @then(parsers.re('"(?P<name>[^"]+)" made (?P<count>[0-9]+)$'))
@@ -161,7 +161,7 @@
 
 @then(parsers.parse('sessions "{names}" ran on "{version}" only'))
 def check_some_sessions(world, names, version):
-    for session in conftest.split(names):
+    for session in stage.split(names):
         assert {a.version for a in world.sessions[session]} == {version}
 
 
--- a/tests/scenarios/when_steps.py
+++ b/tests/scenarios/when_steps.py
@@ -7,8 +7,8 @@
 from pytest_bdd import when
 
 from tests import deployment
-from tests.scenarios import conftest
 from tests.scenarios import given_steps
+from tests.scenarios import stage
 
 LEASE_S = deployment.FAST_CONTROL['lease_s']
 BOOKING_PATH = '/services/visits/new'
@@ -124,7 +124,7 @@
 @when(parsers.parse('callers send {count:d} requests at "{routers}"'))
 def send_requests(world, count, routers):
     world.mark_runs()
-    names = conftest.split(routers)
+    names = stage.split(routers)
     world.sent += count
     world.ask(
         *(
@@ -158,7 +158,7 @@
 def start_stream(world, count, name, headers=None):
     first = asyncio.Event()
     world.sent += 1
-    world.start(conftest.stream(world.deployed, name, count, first, headers))
+    world.start(stage.stream(world.deployed, name, count, first, headers))
     world.run(asyncio.wait_for(first.wait(), deployment.WAIT_S))
 
 
@@ -191,7 +191,7 @@
 def repeat_named_stream(world, count, name, given_id):
     headers = {'X-Request-Id': given_id}
     world.ask(
-        conftest.stream(world.deployed, name, count, asyncio.Event(), headers)
+        stage.stream(world.deployed, name, count, asyncio.Event(), headers)
     )
 
 
@@ -200,7 +200,7 @@
 )
 def ask_stream(world, count, name):
     world.sent += 1
-    world.ask(conftest.stream(world.deployed, name, count, asyncio.Event()))
+    world.ask(stage.stream(world.deployed, name, count, asyncio.Event()))
 
 
 @when(
@@ -345,7 +345,7 @@
 
 @when(parsers.parse('sessions "{names}" send a request at "{router}"'))
 def send_sessions(world, names, router):
-    sessions = conftest.split(names)
+    sessions = stage.split(names)
     world.ask(
         *(
             world.deployed.chat(
@@ -359,7 +359,7 @@
 
 @when(parsers.parse('sessions "{names}" send their token at "{router}"'))
 def send_tokens(world, names, router):
-    sessions = conftest.split(names)
+    sessions = stage.split(names)
     tokens = [world.sessions[name][-1].token for name in sessions]
     world.ask(
         *(
--- /dev/null
+++ b/tests/test_ledgers.py
@@ -0,0 +1,201 @@
+"""Claims and bills against naive models, under generated interleavings."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from arbutuschute.ledgers import bills
+from arbutuschute.ledgers import claims
+from arbutuschute.ledgers import pins
+
+WINDOW_S = 100.0
+KEYS = ('k', 'l')
+
+
+def encode(entry):
+    return msgspec.Raw(msgspec.json.encode(entry))
+
+
+def make_claim(number, key):
+    return claims.Claim(f'id{number}', 'o', key, 'f', f'i{number}')
+
+
+class Claimant:
+    """An instance that wants to run the work of a key, and may fail.
+
+    It sends only when its own reading of the log names it the winner, and
+    it releases only if it never sent.
+    """
+
+    def __init__(self, number, key):
+        self.claim = make_claim(number, key)
+        self.fold = claims.Claims(WINDOW_S)
+        self.position = 0
+        self.sent = False
+        self.gone = False
+
+    def read(self, log, count):
+        for raw, time in log[self.position : self.position + count]:
+            self.fold.apply_entry(raw, time)
+        self.position = min(len(log), self.position + count)
+
+    def act(self, ran):
+        entry = self.fold.find('o', self.claim.key)
+        winner = entry.winner if entry else None
+        if (
+            self.gone
+            or self.sent
+            or winner is None
+            or winner.id != self.claim.id
+            or entry.outcome is not None
+        ):
+            return
+        self.sent = True
+        ran.append(self.claim.key)
+
+    def release(self, log):
+        if self.sent or self.gone:
+            return
+        self.gone = True
+        outcome = claims.Outcome(self.claim.id, 'o', self.claim.key, 'no')
+        log.append((encode(outcome), 0.0))
+
+
+actions = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ['append', 'repeat', 'read', 'act', 'release', 'crash']
+        ),
+        strategies.integers(0, 3),
+        strategies.integers(1, 4),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(actions)
+@hypothesis.settings(max_examples=300)
+def test_no_interleaving_runs_a_key_twice(steps):
+    log = []
+    claimants = [Claimant(n, KEYS[n % 2]) for n in range(4)]
+    appended = set()
+    ran = []
+    for action, number, count in steps:
+        claimant = claimants[number]
+        if action == 'append' and not claimant.gone:
+            appended.add(number)
+            log.append((encode(claimant.claim), 0.0))
+        elif action == 'repeat' and number in appended:
+            log.append((encode(claimant.claim), 0.0))
+        elif action == 'read':
+            claimant.read(log, count)
+        elif action == 'act':
+            claimant.act(ran)
+        elif action == 'release':
+            claimant.release(log)
+        elif action == 'crash':
+            claimant.gone = True
+    assert max(collections.Counter(ran).values(), default=0) <= 1
+
+
+@hypothesis.given(actions)
+def test_every_reader_names_the_same_winner(steps):
+    log = []
+    claimants = [Claimant(n, KEYS[n % 2]) for n in range(4)]
+    for action, number, _ in steps:
+        if action in ('append', 'repeat'):
+            log.append((encode(claimants[number].claim), 0.0))
+        elif action == 'release':
+            claimants[number].release(log)
+    winners = set()
+    for claimant in claimants:
+        while claimant.position < len(log):
+            claimant.read(log, 3)
+        winners.add(
+            tuple(
+                entry.winner.id
+                if (entry := claimant.fold.find('o', key))
+                else None
+                for key in KEYS
+            )
+        )
+    assert len(winners) == 1
+
+
+def test_a_late_copy_of_a_released_claim_does_not_win():
+    fold = claims.Claims(WINDOW_S)
+    first, second = make_claim(1, 'k'), make_claim(2, 'k')
+    fold.apply_entry(encode(first), 0.0)
+    fold.apply_entry(encode(claims.Outcome('id1', 'o', 'k', 'no')), 1.0)
+    fold.apply_entry(encode(first), 2.0)
+    assert fold.find('o', 'k') is None
+    fold.apply_entry(encode(second), 3.0)
+    assert fold.find('o', 'k').winner.id == 'id2'
+
+
+def test_claims_are_forgotten_after_the_window_by_the_time_of_the_log():
+    fold = claims.Claims(WINDOW_S)
+    fold.apply_entry(encode(make_claim(1, 'k')), 0.0)
+    fold.apply_entry(encode(make_claim(2, 'l')), WINDOW_S)
+    assert fold.find('o', 'k') is not None
+    fold.apply_entry(encode(make_claim(3, 'l')), WINDOW_S + 1)
+    assert fold.find('o', 'k') is None
+
+
+def make_bill(number, state, tokens=0):
+    return bills.Bill(
+        f'b{number}', 'o', 'p', 'm', '1', 'i', state, '', 0, tokens
+    )
+
+
+bill_entries = strategies.lists(
+    strategies.builds(
+        make_bill,
+        strategies.integers(0, 3),
+        strategies.sampled_from(list(bills.State)),
+        strategies.integers(0, 5),
+    ),
+    max_size=20,
+)
+
+
+@hypothesis.given(bill_entries)
+def test_reading_rule_equals_the_naive_one(entries):
+    counted = bills.read_bills([bills.encode(bill) for bill in entries])
+    for bill_id in {bill.id for bill in entries}:
+        same = [bill for bill in entries if bill.id == bill_id]
+        best = max(bill.state for bill in same)
+        first = next(bill for bill in same if bill.state == best)
+        assert counted[bill_id] == first
+    assert set(counted) == {bill.id for bill in entries}
+
+
+@hypothesis.given(bill_entries, strategies.integers(1, 3))
+def test_repeats_of_appends_change_no_bill(entries, times):
+    raw = [bills.encode(bill) for bill in entries]
+    assert bills.read_bills(raw * times) == bills.read_bills(raw)
+
+
+@hypothesis.given(bill_entries, strategies.permutations(range(20)))
+def test_kept_bills_only_move_forward(entries, order):
+    """Crossed and repeated keeper messages never open a closed bill."""
+    kept = bills.Kept()
+    shuffled = [entries[i] for i in order if i < len(entries)]
+    for bill in [*shuffled, *entries]:
+        kept.keep(('i', 1), [bills.pack(bill)], ())
+    taken = {bill.id: bill for bill in kept.take(('i', 1))}
+    for bill_id in {bill.id for bill in entries}:
+        best = max(b.state for b in entries if b.id == bill_id)
+        assert taken[bill_id].state == max(best, bills.State.INTERRUPTED)
+    assert kept.take(('i', 1)) == []
+
+
+@hypothesis.given(strategies.text(max_size=60))
+def test_a_token_of_another_secret_is_not_believed(noise):
+    token = pins.Token('o', 'p', {'m': '1'})
+    text = pins.sign_token(token, 'secret-one')
+    assert pins.read_token(text, 'secret-one') == token
+    assert pins.read_token(text, 'secret-two') is None
+    assert pins.read_token(noise, 'secret-one') is None
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,182 @@
+"""Membership and the confirmation lease on a virtual clock."""
+
+import pytest
+
+from arbutuschute.machines import instances
+from arbutuschute import messages
+from arbutuschute import timer
+from arbutuschute.zones import lease
+from arbutuschute.zones import membership
+
+LEASE_S = 10.0
+STORE = 'qc-sud'
+
+
+def make_heartbeat(sender, sent_at, incarnation=1, **more):
+    return messages.Heartbeat(
+        sender=sender, incarnation=incarnation, zone='z', region=STORE,
+        state='live', sent_at=sent_at, **more,
+    )  # fmt: skip
+
+
+def make_member(name, region=STORE, **more):
+    return membership.Member(name, 'z', region, 1, **more)
+
+
+def make_standing(region=STORE, offset=5, confirmed_at=None, failing=True,
+                  members=()):  # fmt: skip
+    return lease.Standing(region, offset, confirmed_at, failing, members)
+
+
+def confirmed(standing, now=100.0):
+    return lease.is_confirmed(standing, now, LEASE_S, STORE)
+
+
+def test_own_reading_confirms_for_one_lease():
+    assert confirmed(make_standing(confirmed_at=91.0))
+    assert not confirmed(make_standing(confirmed_at=89.0, failing=False))
+
+
+def test_a_peer_confirms_only_what_it_stated_after_our_own_clock():
+    fresh = make_member('p', stated_at=95.0, confirmed_age_s=1.0, offset=5)
+    held_up = make_member('p', stated_at=80.0, confirmed_age_s=0.0, offset=5)
+    ahead = make_member('p', stated_at=99.0, confirmed_age_s=0.0, offset=6)
+    assert confirmed(make_standing(members=(fresh,)))
+    assert not confirmed(make_standing(members=(held_up,)))
+    assert not confirmed(make_standing(members=(ahead,)))
+
+
+@pytest.mark.parametrize(
+    ('region', 'failing', 'voices', 'expected'),
+    [
+        (STORE, True, (True, False), True),
+        (STORE, False, (True, False), False),
+        (STORE, True, (False, False), False),
+        (STORE, True, (True, True), True),
+        ('qc-est', True, (True, True), True),
+        ('qc-est', True, (True, False), False),
+    ],
+)
+def test_store_is_down_when_most_of_its_region_say_so(
+    region, failing, voices, expected
+):
+    members = tuple(
+        make_member(f'p{i}', stated_at=99.0, store_down=down)
+        for i, down in enumerate(voices)
+    )
+    standing = make_standing(region, failing=failing, members=members)
+    assert confirmed(standing) is expected
+
+
+def test_an_instance_cut_off_from_everybody_does_not_believe_itself():
+    silent = make_member('p', region='qc-est', stated_at=10.0)
+    assert not confirmed(make_standing(members=(silent,)))
+    assert confirmed(make_standing(members=()))
+
+
+def make_membership():
+    return membership.Membership('me', 'z', STORE, suspect_s=4.0)
+
+
+def test_silence_suspicion_and_death_on_the_virtual_clock():
+    clock = timer.VirtualTimer()
+    members = make_membership()
+    members.hear(make_heartbeat('p', 0.0), clock.now())
+    seen = []
+    clock.every(1.0).subscribe(
+        lambda now: seen.append(members.judge(members.members['p'], now))
+    )
+    clock.advance(15.0)
+    live, suspect, dead = membership.Liveness
+    assert seen == [live] * 4 + [suspect] * 8 + [dead] * 3
+    assert members.take_dead(clock.now()) == [('p', 1)]
+    assert members.take_dead(clock.now()) == []
+
+
+def test_a_restart_buries_the_old_incarnation_at_once():
+    members = make_membership()
+    members.hear(make_heartbeat('p', 5.0, incarnation=1), 0.0)
+    members.hear(make_heartbeat('p', 1.0, incarnation=2), 1.0)
+    members.hear(make_heartbeat('p', 6.0, incarnation=1), 2.0)
+    assert members.members['p'].incarnation == 2
+    assert members.members['p'].heard_at == 1.0
+    assert members.take_dead(2.0) == [('p', 1)]
+
+
+def test_late_and_repeated_heartbeats_do_not_turn_a_member_back():
+    members = make_membership()
+    members.hear(make_heartbeat('p', 5.0, offset=7), 0.0)
+    members.hear(make_heartbeat('p', 4.0, offset=6), 1.0)
+    assert members.members['p'].offset == 7
+
+
+def test_a_peer_off_the_list_stays_while_it_speaks():
+    members = make_membership()
+    entry = instances.Instance('p', 'router', 'z', STORE)
+    members.list_routers([entry])
+    members.hear(make_heartbeat('p', 0.0), 0.0)
+    members.forget_gone(members.list_routers([]), 1.0)
+    assert 'p' in members.members
+    members.forget_gone(members.list_routers([]), 9.0)
+    assert 'p' not in members.members
+    assert members.take_dead(9.0) == [('p', 1)]
+
+
+def test_keepers_stand_in_other_zones_of_the_own_region_first():
+    members = make_membership()
+    for name, zone, region in (
+        ('far', 'y', 'qc-est'), ('mate', 'z', STORE), ('near', 'x', STORE),
+    ):  # fmt: skip
+        members.members[name] = membership.Member(
+            name, zone, region, 1, heard_at=0.0
+        )
+    ranked = [name for name, _ in members.rank_keepers(1.0)]
+    assert ranked == ['near', 'mate', 'far']
+
+
+def make_fleet(zones, per_zone):
+    """Return the memberships of a whole fleet that share one list."""
+    entries = [
+        instances.Instance(
+            f'r{zone}-{n}', 'router', f'z{zone}', f'g{zone % 7}'
+        )
+        for zone in range(zones)
+        for n in range(per_zone)
+    ]
+    fleet = {}
+    for entry in entries:
+        made = membership.Membership(
+            entry.name, entry.zone, entry.region, suspect_s=4.0
+        )
+        made.list_routers(entries)
+        fleet[entry.name] = made
+    return fleet
+
+
+def test_what_one_router_hears_reaches_all_through_the_relays():
+    fleet = make_fleet(zones=5, per_zone=4)
+    neighbours = {
+        name: {member.name for member in made.find_neighbours()}
+        for name, made in fleet.items()
+    }
+    for name, found in neighbours.items():
+        assert all(name in neighbours[other] for other in found)
+    reached = {'r0-0'}
+    for _ in range(3):
+        reached |= {n for known in list(reached) for n in neighbours[known]}
+    assert reached == set(fleet)
+
+
+def test_neighbours_at_the_size_designed_for():
+    fleet = make_fleet(zones=25, per_zone=17)
+    sizes = sorted(len(made.find_neighbours()) for made in fleet.values())
+    assert sizes[0] == 16
+    assert sizes[-1] == 16 + 24 * membership.RELAYS_PER_ZONE
+
+
+def test_a_statement_passed_on_by_a_relay_never_looks_younger():
+    """Head read 6 s ago by a peer's peer; echoed to us 2 s ago."""
+    relay = make_member('relay', stated_at=98.0, confirmed_age_s=6.0, offset=5)
+    standing = make_standing(region='qc-est', members=(relay,))
+    found = lease.find_confirmation(standing, 100.0, LEASE_S, STORE)
+    assert found == 92.0
