--- a/arbutuschute/links/operators.py
+++ b/arbutuschute/links/operators.py
@@ -48,6 +48,7 @@
                 'peers': sorted(
                     m.name for m in environment.membership.find_live(now)
                 ),
+                'members': sorted(environment.membership.members),
                 'silent': environment.membership.find_silent(now),
                 'leaving_servers': sorted(
                     server.name
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,315 @@
+"""Slopes for docs/CAPACITY.md, measured with real processes.
+
+Run it as ``python -m benchmarks.capacity [quick]``; it prints JSON.
+"""
+
+import asyncio
+import json
+import os
+import random
+import sys
+import time
+
+from benchmarks import passthrough
+import msgspec
+
+from arbutuschute.contracts import fold
+from arbutuschute.contracts import profiles
+from arbutuschute.ledgers import bills
+from arbutuschute.ledgers import claims
+from arbutuschute.ledgers import pins
+from arbutuschute.machines import fleet
+from arbutuschute.machines import instances
+from arbutuschute import messages
+from arbutuschute.policy import choice
+from arbutuschute.policy import rollout
+from tests import deployment
+
+WATCH_S = 10.0
+FLEETS = ((2, 2), (4, 4), (8, 6), (12, 5))
+ENGINES = (0, 24)
+CHANGES = 40
+PAGE_KB = os.sysconf('SC_PAGE_SIZE') / 1024
+STEADY = {
+    'heartbeat_s': 1.0, 'suspect_s': 4.0, 'lease_s': 10.0,
+    'instances_s': 1.0, 'log_timeout_s': 2.0, 'bills_flush_s': 0.25,
+}  # fmt: skip
+
+
+def read_resident_kb(pid):
+    """Return the resident memory of a process."""
+    with open(f'/proc/{pid}/statm', encoding='ascii') as statm:
+        return int(statm.read().split()[1]) * PAGE_KB
+
+
+async def watch_idle(deployed, names):
+    """Return control's processor time, bytes and memory per router."""
+
+    async def read():
+        found = {}
+        for name in names:
+            pid = deployed.processes[name].popen.pid
+            status = await deployed.get_status(name)
+            counters = status['counters']
+            found[name] = (
+                passthrough.read_cpu_s(pid),
+                counters.get('peers.bytes_in', 0),
+                counters.get('peers.bytes_out', 0),
+                read_resident_kb(pid),
+                len(status['peers']),
+            )
+        return found
+
+    before = await read()
+    began = time.monotonic()
+    await asyncio.sleep(WATCH_S)
+    after = await read()
+    took_s = time.monotonic() - began
+    rows = []
+    for name in names:
+        one, two = before[name], after[name]
+        rows.append(
+            {
+                'neighbours': two[4],
+                'cpu_percent': 100 * (two[0] - one[0]) / took_s,
+                'bytes_in_s': (two[1] - one[1]) / took_s,
+                'bytes_out_s': (two[2] - one[2]) / took_s,
+                'resident_mb': two[3] / 1024,
+            }
+        )
+    rows.sort(key=lambda row: row['neighbours'])
+    return rows
+
+
+async def measure_fleet(zones, per_zone, engines=0):
+    """Return what the least and the most connected router spend idle."""
+    async with deployment.Deployment() as deployed:
+        await deployed.publish_basics(deployment.make_profile())
+        for number in range(engines):
+            name = f'e{number}'
+            await deployed.start_engine(name, ['rapport:1'])
+        names = []
+        for zone in range(zones):
+            for number in range(per_zone):
+                name = f'r{zone}-{number}'
+                names.append(name)
+                await deployed.start_router(
+                    name, f'z{zone}', wait=False, **STEADY
+                )
+        for name in names:
+            await deployment.wait_for(
+                lambda name=name: deployed.is_live(name), name
+            )
+        await asyncio.sleep(6.0)
+        rows = await watch_idle(deployed, names)
+        return {
+            'routers': zones * per_zone,
+            'zones': zones,
+            'engines': engines,
+            'least': _round(rows[0]),
+            'most': _round(rows[-1]),
+            'mean': _round(
+                {
+                    key: sum(row[key] for row in rows) / len(rows)
+                    for key in rows[0]
+                }
+            ),
+        }
+
+
+async def measure_in_force():
+    """Return seconds from a publication to being in force everywhere."""
+    async with deployment.Deployment() as deployed:
+        await deployed.publish_basics(deployment.make_profile())
+        names = [(f'r{n}', f'z{n % 3}') for n in range(7)]
+        await deployed.start_routers(*names, **STEADY)
+        times = []
+        offset = 1
+        for number in range(CHANGES):
+            document = deployment.make_profile(
+                limits={'in_flight': 10 + number}
+            )
+            change = {
+                'kind': 'publish-profile',
+                'id': f'bench-{number}',
+                'document': document,
+                'based_on': offset,
+            }
+            began = time.monotonic()
+            async with deployed.session.post(
+                deployed.platform + '/log/configuration',
+                data=json.dumps({'entries': [change]}),
+            ) as response:
+                offset = (await response.json())['offset']
+            for name, _ in names:
+                while True:
+                    status = await deployed.get_status(name)
+                    if status['offset'] >= offset:
+                        break
+            times.append(time.monotonic() - began)
+        times.sort()
+        return {
+            'changes': CHANGES,
+            'routers': len(names),
+            'median_s': round(times[len(times) // 2], 4),
+            'worst_s': round(times[-1], 4),
+        }
+
+
+def _round(row):
+    return {key: round(value, 2) for key, value in row.items()}
+
+
+def time_each(act, count):
+    """Return microseconds per call of ``act(number)``."""
+    began = time.perf_counter()
+    for number in range(count):
+        act(number)
+    return round((time.perf_counter() - began) / count * 1e6, 2)
+
+
+def measure_objects():
+    """Return bytes and microseconds per object of each kind of state."""
+    profile = profiles.check_profile(
+        deployment.make_profile(
+            versions=tuple(f'm{i}:{v}' for i in range(6) for v in (1, 2))
+        )
+    ).unwrap()
+    publication = fold.changes.PublishProfile(
+        id='x' * 32, document=profile, based_on=-1
+    )
+    bill = bills.Bill(
+        'organisation/r1-1796363231555-1234567', 'organisation', 'profile',
+        'model', 'version', 'r1/1796363231555', bills.State.CLOSED,
+        'answered', 100, 200, 0.4,
+    )  # fmt: skip
+    heartbeat = messages.Heartbeat(
+        sender='region-zone-12', incarnation=1796363231555, zone='zone-12',
+        region='region-1', state='live', sent_at=12345.678, echo=12344.1,
+        offset=123456, confirmed_age_s=0.5, in_flight=27,
+    )  # fmt: skip
+    report = messages.LoadReport('engine-1234', 20, 3, 32, 0.25)
+    claim = claims.Claim('r1-1796363231555-12', 'organisation', 'k' * 36,
+                         'f' * 64, 'r1')  # fmt: skip
+    return {
+        'configuration_record_bytes': len(msgspec.json.encode(publication)),
+        'bill_in_log_bytes': len(bills.encode(bill)),
+        'bill_at_keeper_bytes': len(bills.pack(bill)),
+        'heartbeat_bytes': len(messages.encode(heartbeat)),
+        'load_report_bytes': len(msgspec.msgpack.encode(report)),
+        'claim_in_log_bytes': len(msgspec.json.encode(claim)),
+        'session_token_bytes': len(
+            pins.sign_token(
+                pins.Token('organisation', 'profile', {'model': 'version'}),
+                'secret' * 4,
+            )
+        ),
+    }
+
+
+def measure_memory():
+    """Return bytes of memory per object held, by resident growth."""
+    found = {}
+    count = 100_000
+
+    def grow(name, make):
+        before = read_resident_kb(os.getpid())
+        held = [make(number) for number in range(count)]
+        grown_kb = read_resident_kb(os.getpid()) - before
+        found[name] = round(grown_kb * 1024 / count)
+        return held
+
+    fold_claims = claims.Claims(1e9)
+
+    def hold_claim(number):
+        entry = claims.Claim(
+            f'r1-1796363231555-{number}', 'organisation', f'key-{number:032}',
+            f'{number:064}', 'r1',
+        )  # fmt: skip
+        fold_claims.apply_entry(msgspec.json.encode(entry), 0.0)
+
+    kept = bills.Kept()
+
+    def hold_bill(number):
+        bill = bills.Bill(
+            f'organisation/r1-1796363231555-{number}', 'organisation',
+            'profile', 'model', 'version', 'r1/1796363231555',
+        )  # fmt: skip
+        kept.keep(('r1', 1), (bills.pack(bill),), ())
+
+    held_pins = pins.Pins(
+        ('r1', 1), lambda *_: True, lambda _: ['r1'], lambda *_: True
+    )
+
+    def hold_pin(number):
+        held_pins.decide(f'organisation\nprofile\nmodel\ns{number:032}', '1')
+
+    keep_alive = [
+        grow('claim_bytes', hold_claim),
+        grow('kept_bill_bytes', hold_bill),
+        grow('pin_bytes', hold_pin),
+    ]
+    return found if keep_alive else {}
+
+
+def measure_decisions():
+    """Return microseconds per decision at the size designed for."""
+
+    servers = []
+    for number in range(1200):
+        server = fleet.BackendServer(
+            instances.Instance(
+                f'e{number}', 'engine', 'z', 'g', versions=('m:1',)
+            )
+        )
+        server.load = fleet.Load(number % 30, 0, 32, 0.0, 0)
+        servers.append(server)
+    chosen_from = fleet.Fleet()
+    chosen_from.servers = {server.name: server for server in servers}
+    chosen_from._index_offers()
+    rng = random.Random(1)
+    profile = profiles.check_profile(
+        deployment.make_profile(versions=('m:1', 'm:2'))
+    ).unwrap()
+    state = fold.Configuration()
+    claimed = claims.Claims(1e9)
+    raw_claims = [
+        msgspec.json.encode(
+            claims.Claim(f'id{n}', 'organisation', f'k{n}', 'f' * 64, 'r1')
+        )
+        for n in range(20_000)
+    ]
+
+    def choose(_):
+        found = chosen_from.find_version('m', '1', 0.0)
+        choice.choose_server(found, rng)
+
+    return {
+        'choose_server_of_1200_us': time_each(choose, 2000),
+        'choose_version_us': time_each(
+            lambda n: rollout.choose_version(profile, 'm', state, str(n)),
+            20_000,
+        ),
+        'fold_claim_us': time_each(
+            lambda n: claimed.apply_entry(raw_claims[n], 0.0), 20_000
+        ),
+    }
+
+
+async def main():
+    """Measure all and print one JSON document."""
+    quick = 'quick' in sys.argv
+    fleets = FLEETS[:2] if quick else FLEETS
+    results = {
+        'objects': measure_objects(),
+        'memory': measure_memory(),
+        'decisions': measure_decisions(),
+        'in_force': await measure_in_force(),
+        'idle': [await measure_fleet(*shape) for shape in fleets],
+        'engines': [await measure_fleet(1, 2, n) for n in ENGINES],
+    }
+    print(json.dumps(results, indent=1))
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -219,12 +219,17 @@
         await self.wait_for_mesh(names)
 
     async def wait_for_mesh(self, names):
+        """Wait until each router knows the others and hears its neighbours."""
         for name in names:
             others = set(names) - {name}
 
             async def hears(name=name, others=others):
                 status = await self.get_status(name)
-                return status and others <= set(status['peers'])
+                return (
+                    status
+                    and others <= set(status['members'])
+                    and not others & set(status['silent'])
+                )
 
             await wait_for(hears, f'{name} hears {others}')
 
--- a/tests/naive_router.py
+++ b/tests/naive_router.py
@@ -207,6 +207,8 @@
                     msgspec.json.encode(state, order='deterministic')
                 ).hexdigest(),
                 'peers': others,
+                'members': others,
+                'silent': [],
                 'leaving_servers': leaving,
             }
         )
