Keep a waiting organisation's place in fair time

Cause: a test of weights found that an organisation of weight three got 40 of 40 turns beside one of weight one: a line's start was moved up to the clock at each look, so that a lighter line never came due. Excluded: the weights themselves, the order within a line. Change: the start is fixed when a line begins to wait and moves on only with what it is given. Instance lists are read by each zone mate in its turn and changes told; neighbours are worked out when the members change, not at each look.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -15,6 +15,8 @@
 LOAD_PERIOD_S = 0.5
 PUMP_PERIOD_S = 0.1
 PACE_PERIOD_S = 0.25
+LIST_ENTRY_BYTES = 200
+LIST_BYTES_PER_S = 8_000
 PIN_MESSAGES = (messages.AskPin, messages.TellPin, messages.CopyPin)
 SNAPSHOT_SHARE_OF_RETENTION = 0.25
 
@@ -48,7 +50,6 @@
         timer = environment.timer
         for period_s, act in (
             (control.heartbeat_s, self._beat),
-            (control.instances_s, self._list_again),
             (LOAD_PERIOD_S, self._poll_loads),
             (control.heartbeat_s, self._flush_metrics),
             (PUMP_PERIOD_S, self._pump),
@@ -56,6 +57,7 @@
         ):
             timer.every(period_s).subscribe(self._protect(act))
         environment.peers.received.subscribe(self._protect(self.accept))
+        self._schedule_list()
 
     def _protect(self, act):
         """Return ``act`` so that a fault is logged and does not end it."""
@@ -71,9 +73,6 @@
 
         return run
 
-    def _list_again(self, now):
-        self._spawn(self.list_instances())
-
     def _pump(self, now):
         self._environment.keeping.check()
         self._environment.admission.pump_all()
@@ -86,6 +85,23 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _schedule_list(self):
+        """Read the list again later: the longer it is, the later.
+
+        Zone mates read it at other moments and tell what has changed.
+        """
+        environment = self._environment
+        size = LIST_ENTRY_BYTES * len(environment.fleet.instances)
+        period_s = max(
+            environment.settings.control.instances_s, size / LIST_BYTES_PER_S
+        )
+        delay_s = period_s * environment.random.uniform(0.75, 1.25)
+        environment.timer.call_after(delay_s, self._list_again)
+
+    def _list_again(self):
+        self._spawn(self.list_instances())
+        self._schedule_list()
+
     async def list_instances(self):
         """Take over the platform's instance list, if it answers."""
         environment = self._environment
@@ -98,6 +114,40 @@
         if listed is None:
             environment.metrics.count('instances.failed')
             return
+        known = environment.fleet.instances
+        self._tell_changes(known, {entry.name: entry for entry in listed})
+        self._take_over_list(listed)
+
+    def _tell_changes(self, known, listed):
+        """Tell zone mates what differs from the list as we knew it."""
+        environment = self._environment
+        changed = [e for e in listed.values() if known.get(e.name) != e]
+        gone = known.keys() - listed.keys()
+        if not known or not (changed or gone):
+            return
+        sender, incarnation = environment.identity
+        message = messages.InstancesChanged(
+            sender=sender,
+            incarnation=incarnation,
+            changed=tuple(map(instances.encode, changed)),
+            gone=tuple(sorted(gone)),
+        )
+        for member in environment.membership.find_neighbours():
+            if member.zone == environment.settings.zone:
+                environment.peers.send(member.name, message)
+
+    def _accept_changes(self, message):
+        merged = dict(self._environment.fleet.instances)
+        for raw in message.changed:
+            entry = instances.decode(raw)
+            if entry is not None:
+                merged[entry.name] = entry
+        for name in message.gone:
+            merged.pop(name, None)
+        self._take_over_list(list(merged.values()))
+
+    def _take_over_list(self, listed):
+        environment = self._environment
         environment.fleet.list_instances(listed)
         routers = environment.fleet.find_routers()
         others = environment.membership.list_routers(routers)
@@ -123,6 +173,8 @@
             environment.guard.hear(
                 (message.sender, message.incarnation), message.evidence
             )
+        elif isinstance(message, messages.InstancesChanged):
+            self._accept_changes(message)
         elif isinstance(message, messages.TellHalt):
             environment.halts.add((message.rollout, message.revision))
         elif isinstance(message, PIN_MESSAGES):
--- a/arbutuschute/links/operators.py
+++ b/arbutuschute/links/operators.py
@@ -50,6 +50,12 @@
                 ),
                 'members': sorted(environment.membership.members),
                 'silent': environment.membership.find_silent(now),
+                'halted': sorted(
+                    name
+                    for name, progress in configuration.rollouts.items()
+                    if progress.halted
+                    or (name, progress.revision) in environment.halts
+                ),
                 'leaving_servers': sorted(
                     server.name
                     for server in environment.fleet.servers.values()
--- a/arbutuschute/machines/instances.py
+++ b/arbutuschute/machines/instances.py
@@ -38,6 +38,19 @@
     instances: tuple[Instance, ...]
 
 
+def encode(instance):
+    """Return the bytes of an entry, for peers."""
+    return msgspec.msgpack.encode(instance)
+
+
+def decode(raw):
+    """Return the entry in a peer's message, or None if it is malformed."""
+    try:
+        return msgspec.msgpack.decode(raw, type=Instance)
+    except msgspec.DecodeError:
+        return None
+
+
 async def fetch_instances(session, url, reader):
     """Return ``Result`` with the platform's current instances."""
     try:
--- a/arbutuschute/messages.py
+++ b/arbutuschute/messages.py
@@ -67,6 +67,13 @@
     revision: int
 
 
+class InstancesChanged(Message, frozen=True, tag='ic'):
+    """What a zone mate's reading of the instance list brought."""
+
+    changed: tuple[bytes, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 class FetchConfiguration(Message, frozen=True, tag='fc'):
     """Ask for the configuration records after ``offset``."""
 
@@ -129,6 +136,7 @@
     Heartbeat
     | TellEvidence
     | TellHalt
+    | InstancesChanged
     | FetchConfiguration
     | ConfigurationRecords
     | KeepBills
--- a/arbutuschute/policy/admission.py
+++ b/arbutuschute/policy/admission.py
@@ -50,12 +50,12 @@
 class _Line:
     """One organisation's waiting work and its place in fair time."""
 
-    __slots__ = ('backlog_s', 'finish', 'heap', 'weight')
+    __slots__ = ('backlog_s', 'heap', 'start', 'weight')
 
     def __init__(self):
         self.heap = []
         self.backlog_s = 0.0
-        self.finish = 0.0
+        self.start = 0.0
         self.weight = 1.0
 
 
@@ -95,6 +95,8 @@
         wait_s = self.foresee_wait(line, ticket, slots)
         if now + wait_s * WAIT_MARGIN + ticket.cost_s > ticket.deadline_at:
             raise errors.Overloaded(ticket.organisation)
+        if not line.heap:
+            line.start = max(self._clock, line.start)
         ticket.number = next(self._numbers)
         heapq.heappush(line.heap, (ticket.priority, ticket.number, ticket))
         line.backlog_s += ticket.cost_s
@@ -131,9 +133,8 @@
             if now + ticket.cost_s > ticket.deadline_at:
                 expired.append(ticket)
                 continue
-            start = max(self._clock, line.finish)
-            self._clock = start
-            line.finish = start + ticket.cost_s / line.weight
+            self._clock = max(self._clock, line.start)
+            line.start += ticket.cost_s / line.weight
             self.running_long += ticket.is_long
             return ticket, expired
 
@@ -162,7 +163,10 @@
         return True
 
     def _find_next(self, long_too):
-        """Return the line whose first ticket starts earliest, if any."""
+        """Return the line whose first ticket ends earliest in fair time.
+
+        A line keeps its place in fair time while it waits.
+        """
         best = None
         earliest = None
         for line in self._lines.values():
@@ -171,8 +175,7 @@
             ticket = line.heap[0][2]
             if ticket.is_long and not long_too:
                 continue
-            start = max(self._clock, line.finish)
-            place = (start + ticket.cost_s / line.weight, ticket.number)
+            place = (line.start + ticket.cost_s / line.weight, ticket.number)
             if earliest is None or place < earliest:
                 best, earliest = line, place
         return best
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -38,7 +38,15 @@
 class Membership:
     """Members by name; the own instance is not among them."""
 
-    __slots__ = ('_dead', 'me', 'members', 'suspect_s', 'zone', 'region')
+    __slots__ = (
+        '_dead',
+        '_neighbours',
+        'me',
+        'members',
+        'region',
+        'suspect_s',
+        'zone',
+    )
 
     def __init__(self, me, zone, region, suspect_s):
         self.me = me
@@ -47,6 +55,7 @@
         self.suspect_s = suspect_s
         self.members = {}
         self._dead = []
+        self._neighbours = None
 
     def list_routers(self, instances):
         """Take over the platform's list; drop who is neither on it nor heard.
@@ -60,6 +69,7 @@
             member = self.members.get(name)
             if member is None:
                 self.members[name] = Member(name, entry.zone, entry.region)
+                self._neighbours = None
         return listed
 
     def forget_gone(self, listed, now):
@@ -68,6 +78,7 @@
             if name not in listed and self.judge(member, now) != Liveness.LIVE:
                 self._bury(member)
                 del self.members[name]
+                self._neighbours = None
 
     def hear(self, heartbeat, now):
         """Take in a heartbeat; one of an older incarnation is ignored."""
@@ -75,6 +86,7 @@
         if member is None:
             member = Member(heartbeat.sender, heartbeat.zone, heartbeat.region)
             self.members[heartbeat.sender] = member
+            self._neighbours = None
         if heartbeat.incarnation < member.incarnation:
             return
         if heartbeat.incarnation > member.incarnation:
@@ -178,6 +190,11 @@
         other zones. What a relay learns reaches its zone with its own
         heartbeats.
         """
+        if self._neighbours is None:
+            self._neighbours = self._choose_neighbours()
+        return self._neighbours
+
+    def _choose_neighbours(self):
         relays = self.find_relays()
         wanted = {
             name
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,7 @@
 from arbutuschute.machines import instances
 from arbutuschute import messages
 from arbutuschute.policy import choice
+from arbutuschute.policy import pace
 from arbutuschute.policy import rollout
 from tests import deployment
 
@@ -262,11 +263,12 @@
                 f'e{number}', 'engine', 'z', 'g', versions=('m:1',)
             )
         )
-        server.load = fleet.Load(number % 30, 0, 32, 0.0, 0)
+        server.load = fleet.Load(number % 30, 0, 32, 0.0, number % 30)
         servers.append(server)
     chosen_from = fleet.Fleet()
     chosen_from.servers = {server.name: server for server in servers}
     chosen_from._index_offers()
+    no_pace = pace.Pace()
     rng = random.Random(1)
     profile = profiles.check_profile(
         deployment.make_profile(versions=('m:1', 'm:2'))
@@ -281,10 +283,27 @@
     ]
 
     def choose(_):
-        found = chosen_from.find_version('m', '1', 0.0)
-        choice.choose_server(found, rng)
+        found = chosen_from.find_version('m', '1')
+        choice.choose_server(found, no_pace, rng, lambda s: s.is_open(0.0))
+
+    listed = [
+        {
+            'name': f'engine-{n}', 'kind': 'engine', 'zone': f'zone-{n % 25}',
+            'region': f'region-{n % 7}', 'address': 'http://10.0.0.1:8000',
+            'versions': ['model-a:2026-09', 'model-a:2026-11'],
+        }
+        for n in range(1610)
+    ]  # fmt: skip
+    raw_list = msgspec.json.encode({'instances': listed})
+    taken = fleet.Fleet()
+
+    def take_list(_):
+        found = msgspec.json.decode(raw_list, type=instances.InstanceList)
+        taken.list_instances(found.instances)
 
     return {
+        'instance_list_bytes': len(raw_list),
+        'take_instance_list_us': time_each(take_list, 50),
         'choose_server_of_1200_us': time_each(choose, 2000),
         'choose_version_us': time_each(
             lambda n: rollout.choose_version(profile, 'm', state, str(n)),
--- a/tests/scenarios/then_steps.py
+++ b/tests/scenarios/then_steps.py
@@ -106,6 +106,17 @@
     assert json.loads(refused)['code'] == failure
 
 
+@then(parsers.parse('every instance has halted "{version}"'))
+def check_halted(world, version):
+    async def halted():
+        statuses = [
+            await world.deployed.get_status(n) for n in world.live_routers
+        ]
+        return all(s and f'reports/{version}' in s['halted'] for s in statuses)
+
+    world.run(deployment.wait_for(halted, f'{version} halted everywhere'))
+
+
 @then('every instance has the same configuration')
 def check_digests(world):
     deployed = world.deployed
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,299 @@
+"""The decisions, as pure functions, on generated and chosen cases."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from arbutuschute import errors
+from arbutuschute.load import fakes
+from arbutuschute.machines import fleet
+from arbutuschute.machines import instances
+from arbutuschute import messages
+from arbutuschute.policy import admission
+from arbutuschute.policy import cascade
+from arbutuschute.policy import choice
+from arbutuschute.policy import guard
+from arbutuschute.policy import migration
+from arbutuschute.policy import pace
+from arbutuschute.policy import retry
+from arbutuschute import timer
+
+OLD = 'p/m:2@0/old'
+NEW = 'p/m:2@0/new'
+
+
+def make_server(name, slots=10, **load):
+    server = fleet.BackendServer(instances.Instance(name, 'engine', 'z', 'g'))
+    server.load = fleet.Load(slots=slots, **load)
+    return server
+
+
+def make_ticket(organisation, number, priority=4, cost_s=1.0, deadline=1e9,
+                weight=1.0):  # fmt: skip
+    return admission.Ticket(
+        number, organisation, weight, priority, cost_s, deadline
+    )
+
+
+tickets = strategies.lists(
+    strategies.builds(
+        make_ticket,
+        strategies.sampled_from('abc'),
+        strategies.integers(),
+        strategies.integers(0, 9),
+        strategies.floats(0.1, 5.0),
+        strategies.floats(1.0, 60.0),
+    ),
+    max_size=30,
+)
+
+
+@hypothesis.given(tickets)
+def test_every_ticket_is_taken_refused_or_expired_exactly_once(offered):
+    gate = admission.Gate()
+    seen = []
+    for now, ticket in enumerate(offered):
+        try:
+            gate.offer(ticket, now, 4.0)
+        except errors.Overloaded as failure:
+            assert failure.ran is errors.Ran.NO
+            seen.append(ticket)
+        if now % 3 == 0:
+            taken, expired = gate.take(now)
+            seen += [*expired, *([taken] if taken else [])]
+    while gate.waiting:
+        taken, expired = gate.take(0.0)
+        seen += [*expired, *([taken] if taken else [])]
+    assert sorted(map(id, seen)) == sorted(map(id, offered))
+
+
+def test_a_large_organisation_does_not_crowd_out_a_small_one():
+    gate = admission.Gate()
+    for number in range(100):
+        gate.offer(make_ticket('large', number), 0.0, 10.0)
+    for number in range(5):
+        gate.offer(make_ticket('small', number), 0.0, 10.0)
+    order = [gate.take(0.0)[0].organisation for _ in range(12)]
+    assert order.count('small') == 5
+
+
+def test_weights_set_the_shares():
+    gate = admission.Gate()
+    for number in range(60):
+        gate.offer(make_ticket('a', number, weight=3.0), 0.0, 10.0)
+        gate.offer(make_ticket('b', number), 0.0, 10.0)
+    order = [gate.take(0.0)[0].organisation for _ in range(40)]
+    assert order.count('a') == 30
+
+
+def test_short_work_goes_first_within_an_organisation():
+    gate = admission.Gate()
+    gate.offer(make_ticket('a', 1, priority=6, cost_s=20.0), 0.0, 10.0)
+    gate.offer(make_ticket('a', 2, priority=0, cost_s=0.1), 0.0, 10.0)
+    assert gate.take(0.0)[0].item == 2
+
+
+def test_long_work_waits_while_its_part_of_the_slots_is_taken():
+    gate = admission.Gate()
+    for number in range(3):
+        gate.offer(make_ticket('a', number, priority=6), 0.0, 2.0)
+    first, _ = gate.take(0.0, gate.has_long_room(2.0))
+    gate.take(0.0, gate.has_long_room(2.0))
+    assert gate.take(0.0, gate.has_long_room(2.0)) == (None, [])
+    gate.finish(first)
+    assert gate.take(0.0, gate.has_long_room(2.0))[0] is not None
+
+
+def test_work_that_would_come_too_late_is_refused_before_it_runs():
+    gate = admission.Gate()
+    for number in range(40):
+        gate.offer(make_ticket('a', number, deadline=1e9), 0.0, 1.0)
+    with pytest.raises(errors.Overloaded):
+        gate.offer(make_ticket('a', 41, deadline=10.0), 0.0, 1.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 200), strategies.integers(0, 200)
+        ),
+        max_size=10,
+    )
+)
+def test_evidence_may_be_lost_repeated_and_crossed(updates):
+    """Counters only grow, so that any order of their copies sums alike."""
+    copies = [
+        (messages.Evidence(f'{NEW}#error', max(t, f), min(t, f)),)
+        for t, f in updates
+    ]
+    judged = guard.Guard()
+    for evidence in [*copies, *reversed(copies), *copies]:
+        judged.hear(('r', 1), evidence)
+    failures, trials = judged.sum_up(NEW, 'error')
+    assert trials == max((max(u) for u in updates), default=0)
+    assert failures == max((min(u) for u in updates), default=0)
+
+
+def test_a_restarted_instance_counts_anew_beside_its_past():
+    judged = guard.Guard()
+    judged.hear(('r', 1), (messages.Evidence(f'{NEW}#error', 10, 1),))
+    judged.hear(('r', 2), (messages.Evidence(f'{NEW}#error', 4, 1),))
+    assert judged.sum_up(NEW, 'error') == (2, 14)
+
+
+def test_shared_evidence_halts_where_each_alone_sees_too_little():
+    alone = [guard.Guard() for _ in range(7)]
+    for judged in alone:
+        for number in range(300):
+            judged.note(OLD, 'error', number % 100 == 0)
+        for number in range(10):
+            judged.note(NEW, 'error', number % 5 == 0)
+    assert not any(judged.find_fault(NEW, OLD) for judged in alone)
+    for number, judged in enumerate(alone[1:]):
+        alone[0].hear((f'r{number}', 1), judged.tell())
+    assert alone[0].find_fault(NEW, OLD) == 'error'
+
+
+def test_a_version_as_good_as_the_old_one_is_not_halted():
+    rng = random.Random(7)
+    judged = guard.Guard()
+    for _ in range(500):
+        judged.note(OLD, 'error', rng.random() < 0.03)
+    for _ in range(3000):
+        judged.note(NEW, 'error', rng.random() < 0.03)
+        assert judged.find_fault(NEW, OLD) is None
+
+
+def test_cascade_starts_dear_and_goes_cheap_when_it_is_good_enough():
+    learner = cascade.Learner()
+    assert not learner.choose_plan(0.1, 1.0, 0.9).tries_cheap
+    rng = random.Random(3)
+    for _ in range(600):
+        good = rng.random() < 0.97
+        learner.note_cheap(0.8)
+        learner.rate_cheap(0.8, good)
+    plan = learner.choose_plan(0.1, 1.0, 0.9)
+    assert plan.tries_cheap
+    assert plan.quality >= 0.9
+
+
+def test_cascade_keeps_only_confident_answers_of_a_weak_model():
+    learner = cascade.Learner()
+    for number in range(1000):
+        confident = number % 2 == 0
+        learner.note_cheap(0.9 if confident else 0.2)
+        learner.rate_cheap(0.9 if confident else 0.2, confident)
+        learner.rate_dear(True)
+    plan = learner.choose_plan(0.1, 1.0, 0.95)
+    assert cascade.find_bin(0.2) < plan.threshold <= cascade.find_bin(0.9)
+
+
+def test_cascade_goes_straight_to_the_dear_model_when_cheap_is_bad():
+    learner = cascade.Learner()
+    for _ in range(500):
+        learner.note_cheap(0.5)
+        learner.rate_cheap(0.5, False)
+    assert not learner.choose_plan(0.1, 1.0, 0.9).tries_cheap
+
+
+def make_paces(slow, tokens=200):
+    paces = pace.Pace()
+    for number in range(9):
+        seconds = 0.1 if number == slow else 0.02
+        paces.note(f'e{number}', seconds * tokens, tokens, 10.0)
+    paces.update(10.0)
+    return paces
+
+
+def test_a_slowed_server_is_found_against_its_pool():
+    paces = make_paces(slow=3)
+    assert paces.find_factor('e3') > 4.0
+    assert paces.find_factor('e1') == 1.0
+    servers = [make_server(f'e{number}') for number in range(9)]
+    rng = random.Random(1)
+    chosen = {choice.choose_server(servers, paces, rng).name
+              for _ in range(200)}  # fmt: skip
+    assert 'e3' not in chosen
+    assert migration.should_leave(servers[3], servers[1], paces)
+    assert not migration.should_leave(servers[1], servers[3], paces)
+
+
+def test_a_pool_that_is_slow_as_a_whole_has_no_slow_server():
+    paces = make_paces(slow=None)
+    assert {paces.find_factor(f'e{n}') for n in range(9)} == {1.0}
+
+
+def test_old_slowness_is_forgotten_so_that_a_server_is_tried_again():
+    paces = make_paces(slow=3)
+    paces.update(10.0 + 20 * pace.HALF_LIFE_S)
+    assert paces.find_factor('e3') == 1.0
+
+
+def test_leaving_paused_and_full_servers_are_passed_over():
+    servers = [make_server(f'e{n}') for n in range(4)]
+    servers[0].leaving = True
+    servers[1].pause(5.0)
+    servers[2].in_flight = 9
+    rng = random.Random(2)
+    chosen = {
+        choice.choose_server(
+            servers, pace.Pace(), rng, lambda s: s.is_open(1.0)
+        ).name
+        for _ in range(50)
+    }
+    assert chosen == {'e3'}
+    assert choice.choose_server([], pace.Pace(), rng) is None
+
+
+def test_own_work_is_counted_once_in_a_late_report():
+    server = make_server('e', slots=10)
+    server.load = fleet.Load()
+    for now in (1.0, 1.1, 1.2):
+        server.begin(now)
+    server.finish(2.0)
+    report = messages.LoadReport('e', 5, 0, 10, age_s=0.5)
+    server.accept_report(report, 2.0)
+    assert server.load.others == 2
+    assert choice.estimate_load(server) == 0.4
+
+
+@pytest.mark.parametrize(
+    ('ran', 'idempotent', 'started', 'expected'),
+    [
+        (errors.Ran.UNKNOWN, False, False, False),
+        (errors.Ran.NO, False, False, True),
+        (errors.Ran.UNKNOWN, True, False, True),
+        (errors.Ran.UNKNOWN, True, True, False),
+    ],
+)
+def test_work_that_may_run_once_only_is_retried_only_if_it_never_ran(
+    ran, idempotent, started, expected
+):
+    failure = errors.AnswerBroken('e').mark_ran(ran)
+    assert retry.may_retry(failure, 1, idempotent, started) is expected
+
+
+def test_retries_stay_a_share_of_requests():
+    budget = retry.Budget()
+    spent = 0
+    for _ in range(1000):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 1000 * retry.RETRIES_PER_REQUEST + retry.BUDGET_FLOOR
+
+
+def test_a_fake_engine_slows_what_runs_and_honours_priority():
+    clock = timer.VirtualTimer()
+    engine = fakes.FakeEngine('e', 1, clock)
+    jobs = [
+        fakes.Job(n, 0.0, 1.0, priority=priority)
+        for n, priority in enumerate((5, 6, 0))
+    ]
+    for job in jobs:
+        engine.submit(job, lambda _: None)
+    clock.advance(0.5)
+    engine.set_factor(2.0)
+    clock.advance(10.0)
+    assert [round(job.ended_at, 6) for job in jobs] == [1.5, 5.5, 3.5]
