Give orders to engines under a lease in the log, with fencing numbers

Excluded: an order from every instance (races), a lease by local clocks alone (a paused holder), a lock in the weight store. Change: a lease folded from its own stream by log time, the winning claim's offset as fence; desired versions as a pure function of the fold and of what engines report; a new holder waits out late orders before it speaks to engines that ignore fences; each order looks at the lease first; loads are paced by the weight store. Conclusion: a planned hand-over of the lease at a graceful stop is left.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -28,6 +28,7 @@
         '_confirmed',
         '_environment',
         '_history',
+        '_ordering',
         '_polling',
         '_rollouts',
         '_snapshot_at',
@@ -39,6 +40,7 @@
         self._history = history
         self._confirmed = None
         self._polling = set()
+        self._ordering = False
         self._rollouts = rollouts.RolloutControl(environment)
         self._snapshot_at = 0.0
         self._tasks = set()
@@ -266,6 +268,16 @@
         self._snapshot_if_due(now)
         environment.learners.update()
         self._spawn(self._rollouts.tick(now))
+        if not self._ordering:
+            self._ordering = True
+            self._spawn(self._order(now))
+
+    async def _order(self, now):
+        """Give orders, one round at a time."""
+        try:
+            await self._environment.orders.tick(now)
+        finally:
+            self._ordering = False
 
     def _note_confirmed(self, confirmed):
         if confirmed != self._confirmed:
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -20,6 +20,7 @@
 from arbutuschute.ledgers import claims
 from arbutuschute.ledgers import commit
 from arbutuschute.ledgers import keeping
+from arbutuschute.ledgers import leases
 from arbutuschute.ledgers import pins
 from arbutuschute.links import caller
 from arbutuschute.links import log
@@ -29,6 +30,7 @@
 from arbutuschute import logs
 from arbutuschute.machines import fleet
 from arbutuschute import metrics
+from arbutuschute import orders
 from arbutuschute.policy import guard
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
@@ -112,6 +114,7 @@
         made.log_client, streams.CONFIGURATION, made.timer
     )
     made.claims_tail = log.Tail(made.log_client, streams.CLAIMS, made.timer)
+    made.leases_tail = log.Tail(made.log_client, streams.LEASES, made.timer)
 
 
 def _build_ledgers(made):
@@ -157,6 +160,7 @@
     __slots__ = (
         '_control',
         '_history',
+        '_leases',
         '_runners',
         '_stopping',
         '_tasks',
@@ -167,6 +171,10 @@
         self.environment = build(settings, loop)
         self._history = history.History()
         self.environment.configuration = self._history.configuration
+        self._leases = leases.Leases(settings.control.lease_s)
+        self.environment.orders = orders.OrderControl(
+            self.environment, self._leases
+        )
         self._control = control.Control(self.environment, self._history)
         self._runners = []
         self._tasks = []
@@ -187,6 +195,7 @@
         made = self.environment
         made.config_tail.records.subscribe(self._history.apply)
         made.claims_tail.records.subscribe(self._apply_claims)
+        made.leases_tail.records.subscribe(self._apply_leases)
         self._start_task(made.peers.run())
         await self._control.list_instances()
         self._control.subscribe()
@@ -198,6 +207,7 @@
         for coroutine in (
             self._follow_configuration(),
             self._follow_claims(),
+            made.leases_tail.run(),
             made.claim_commit.run(),
             made.bill_commit.run(),
         ):
@@ -268,6 +278,10 @@
         for raw in commit.split(record):
             self.environment.claims.apply_entry(raw, record.time)
 
+    def _apply_leases(self, record):
+        for raw in commit.split(record):
+            self._leases.apply_entry(raw, record.offset, record.time)
+
     async def stop(self):
         """Leave: serve on until the balancer has noticed, finish, settle."""
         made = self.environment
--- a/arbutuschute/links/operators.py
+++ b/arbutuschute/links/operators.py
@@ -50,6 +50,7 @@
                 ),
                 'members': sorted(environment.membership.members),
                 'silent': environment.membership.find_silent(now),
+                'orders_fence': environment.orders.find_fence(),
                 'halted': sorted(
                     name
                     for name, progress in configuration.rollouts.items()
--- /dev/null
+++ b/arbutuschute/orders.py
@@ -0,0 +1,170 @@
+"""Orders to engines, given by the holder of a lease in the log.
+
+Some engines refuse an order with an old fencing number, others ignore the
+number. For those a new holder waits until no order of the one before can
+still arrive, and every holder looks at its lease before each order.
+"""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from arbutuschute.contracts import changes
+from arbutuschute.ledgers import leases
+from arbutuschute.policy import desired
+from arbutuschute import running
+from arbutuschute import streams
+
+LEASE = 'orders'
+ORDER_TIMEOUT_S = 1.0
+MARGIN_SHARE = 0.2
+RENEW_SHARE = 0.5
+
+
+class _Seen(msgspec.Struct, frozen=True):
+    versions: tuple[str, ...] = ()
+
+
+class OrderControl:
+    """Holds or waits for the lease, and brings engines to what is desired."""
+
+    __slots__ = (
+        '_environment',
+        '_leases',
+        '_since',
+        '_valid_until',
+        'duration_s',
+    )
+
+    def __init__(self, environment, known_leases):
+        self._environment = environment
+        self._leases = known_leases
+        self.duration_s = known_leases.duration_s
+        self._valid_until = float('-inf')
+        self._since = None
+
+    @property
+    def _holder(self):
+        name, incarnation = self._environment.identity
+        return f'{name}/{incarnation}'
+
+    def find_fence(self):
+        """Return our fencing number while the lease surely runs, or None."""
+        if self._environment.timer.now() >= self._valid_until:
+            return None
+        return self._leases.find_fence(LEASE, self._holder)
+
+    async def tick(self, now):
+        """Renew or claim the lease if it is our turn; then give orders."""
+        environment = self._environment
+        if not running.is_confirmed(environment):
+            return
+        if self._is_due(now):
+            await self._claim(now)
+        if self.find_fence() is None:
+            self._since = None
+            return
+        if self._since is None:
+            self._since = now
+            environment.metrics.count('orders.lease-won')
+            environment.log.info('orders lease held', fence=self.find_fence())
+        await self._give_orders(now)
+
+    def _is_due(self, now):
+        environment = self._environment
+        mine = self._leases.find_fence(LEASE, self._holder) is not None
+        if mine:
+            return now >= self._valid_until - self.duration_s * RENEW_SHARE
+        first = environment.membership.rank_owners(LEASE, now)[0]
+        return first == environment.name
+
+    async def _claim(self, asked_at):
+        """Append a claim; its validity counts from before it was sent."""
+        claim = leases.Claim(LEASE, self._holder)
+        answer = await self._environment.log_client.append(
+            streams.LEASES, changes.encode_batch([claim])
+        )
+        appended = answer.value_or(None)
+        if appended is None:
+            return
+        try:
+            async with asyncio.timeout(self.duration_s):
+                await self._environment.leases_tail.wait_past(appended.offset)
+        except asyncio.TimeoutError:
+            return
+        if self._leases.find_fence(LEASE, self._holder) is not None:
+            margin_s = self.duration_s * MARGIN_SHARE
+            self._valid_until = asked_at + self.duration_s - margin_s
+
+    async def _give_orders(self, now):
+        environment = self._environment
+        engines = {
+            server.name: server
+            for server in environment.fleet.servers.values()
+            if server.instance.kind == 'engine' and not server.leaving
+        }
+        seen = await asyncio.gather(*map(self._look, engines.values()))
+        loaded = {
+            name: versions
+            for name, versions in zip(engines, seen, strict=True)
+            if versions is not None
+        }
+        for order in desired.find_orders(environment.configuration, loaded):
+            server = engines[order.server]
+            waited_s = environment.timer.now() - self._since
+            if not server.instance.checks_fencing and (
+                waited_s <= self.duration_s * MARGIN_SHARE + ORDER_TIMEOUT_S
+            ):
+                continue
+            await self._give(order, server)
+
+    async def _look(self, server):
+        """Return the versions seen on an engine, or None if it is silent."""
+        answer = await self._call('GET', f'{server.instance.address}/load')
+        if answer is None:
+            return None
+        try:
+            return msgspec.json.decode(answer, type=_Seen).versions
+        except msgspec.DecodeError:
+            return None
+
+    async def _give(self, order, server):
+        environment = self._environment
+        if order.action == 'load' and not await self._may_load(order.version):
+            return
+        fence = self.find_fence()
+        if fence is None:
+            return
+        document = {
+            'action': order.action,
+            'version': order.version,
+            'fence': fence,
+            'holder': self._holder,
+        }
+        answer = await self._call(
+            'POST',
+            f'{server.instance.address}/orders',
+            msgspec.json.encode(document),
+        )
+        outcome = 'given' if answer is not None else 'failed'
+        environment.metrics.count(f'orders.{order.action}.{outcome}')
+
+    async def _may_load(self, version):
+        """Ask the weight store for its paced permission to load."""
+        base = self._environment.settings.platform.instances
+        name = version.replace(':', '-')
+        return await self._call('GET', f'{base}/weights/{name}') is not None
+
+    async def _call(self, method, url, body=None):
+        try:
+            async with self._environment.http.request(
+                method,
+                url,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+            ) as response:
+                raw = await response.read()
+                return raw if response.status == 200 else None
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return None
--- /dev/null
+++ b/arbutuschute/policy/desired.py
@@ -0,0 +1,56 @@
+"""Which versions engines should have loaded: a pure function of the fold."""
+
+import msgspec
+
+from arbutuschute.zones import rendezvous
+
+
+class Order(msgspec.Struct, frozen=True):
+    """One wish towards one engine; ``version`` is ``model:version``."""
+
+    server: str
+    action: str
+    version: str
+
+
+def find_orders(configuration, loaded):
+    """Return the orders that bring engines to the desired state.
+
+    ``loaded`` maps engine names to the versions seen on them. Withdrawn
+    versions go from every engine; an allowed one that no engine has is
+    loaded where its model is already, at a place all agree on.
+    """
+    orders = []
+    for server, versions in sorted(loaded.items()):
+        orders += [
+            Order(server, 'unload', version)
+            for version in sorted(versions)
+            if version in configuration.withdrawn
+        ]
+    present = {v for versions in loaded.values() for v in versions}
+    for version in sorted(_find_allowed(configuration) - present):
+        places = _find_places(version, loaded)
+        if places:
+            orders.append(Order(places[0], 'load', version))
+    return orders
+
+
+def _find_allowed(configuration):
+    allowed = set()
+    for published in configuration.profiles.values():
+        if published.document is not None:
+            allowed.update(
+                f'{entry.model}:{entry.version}'
+                for entry in published.document.versions
+            )
+    return allowed - configuration.withdrawn.keys()
+
+
+def _find_places(version, loaded):
+    model = version.partition(':')[0]
+    names = [
+        name
+        for name, versions in loaded.items()
+        if any(other.partition(':')[0] == model for other in versions)
+    ]
+    return rendezvous.rank(version, names)
--- a/arbutuschute/streams.py
+++ b/arbutuschute/streams.py
@@ -3,3 +3,4 @@
 CONFIGURATION = 'configuration'
 CLAIMS = 'claims'
 BILLS = 'bills'
+LEASES = 'leases'
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -137,6 +137,7 @@
             region=REGION,
             address=self.addresses[name],
             versions=list(versions),
+            checks_fencing='--ignores-fencing' not in options,
         )
 
     async def start_service(self, name, zone='mtl-a'):
--- a/tests/scenarios/given_steps.py
+++ b/tests/scenarios/given_steps.py
@@ -10,6 +10,19 @@
 from tests.scenarios import stage
 
 
+@given(
+    parsers.parse(
+        'an engine "{name}" that ignores fencing with versions "{versions}"'
+    )
+)
+def start_careless_engine(world, name, versions):
+    world.run(
+        world.deployed.start_engine(
+            name, stage.split(versions), '--ignores-fencing'
+        )
+    )
+
+
 @given(parsers.parse('an engine "{name}" with versions "{versions}"'))
 def start_engine(world, name, versions):
     world.run(world.deployed.start_engine(name, stage.split(versions)))
--- a/tests/scenarios/then_steps.py
+++ b/tests/scenarios/then_steps.py
@@ -197,3 +197,44 @@
 def check_exit(world, name, code):
     process = world.deployed.processes[name]
     assert world.run(process.wait()) == code, process.read_log()
+
+
+def read_versions(world, name):
+    async def read():
+        async with world.deployed.session.get(
+            world.deployed.addresses[name] + '/load'
+        ) as response:
+            return (await response.json())['versions']
+
+    return read()
+
+
+@then(parsers.parse('"{first}" and "{second}" have "{version}" no longer'))
+def check_unloaded(world, first, second, version):
+    for name in (first, second):
+
+        async def gone(name=name):
+            return version not in await read_versions(world, name)
+
+        world.run(deployment.wait_for(gone, f'{version} gone from {name}'))
+
+
+@then(parsers.parse('some engine has "{version}"'))
+def check_loaded(world, version):
+    async def loaded():
+        for name in world.engines:
+            if version in await read_versions(world, name):
+                return True
+
+    world.run(deployment.wait_for(loaded, f'{version} loaded'))
+
+
+@then('no engine took an order with a lower fencing number than one before')
+def check_fences(world):
+    taken = 0
+    for name in world.engines:
+        found = world.run(world.deployed.get_standin(name, 'runs'))
+        fences = [order['fence'] for order in found['orders']]
+        assert fences == sorted(fences), name
+        taken += len(fences)
+    assert taken > 0
--- a/tests/scenarios/when_steps.py
+++ b/tests/scenarios/when_steps.py
@@ -410,3 +410,33 @@
 
     world.run(deployment.wait_for(seen, f'{name} leaving'))
     world.run(world.deployed.tell(name, 'leaving'))
+
+
+def find_holder(world):
+    async def holder():
+        for name in world.live_routers:
+            status = await world.deployed.get_status(name)
+            if status and status['orders_fence'] is not None:
+                return name
+
+    return world.run(deployment.wait_for(holder, 'a holder'))
+
+
+@when('some instance holds the lease for orders')
+def wait_for_holder(world):
+    world.holder = find_holder(world)
+
+
+@when('the holder is killed')
+def kill_holder(world):
+    world.deployed.processes[world.holder].kill()
+
+
+@when('the holder is frozen')
+def freeze_holder(world):
+    world.deployed.processes[world.holder].freeze()
+
+
+@when('the holder thaws')
+def thaw_holder(world):
+    world.deployed.processes[world.holder].thaw()
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -8,6 +8,7 @@
 
 from arbutuschute.ledgers import bills
 from arbutuschute.ledgers import claims
+from arbutuschute.ledgers import leases
 from arbutuschute.ledgers import pins
 
 WINDOW_S = 100.0
@@ -199,3 +200,30 @@
     assert pins.read_token(text, 'secret-one') == token
     assert pins.read_token(text, 'secret-two') is None
     assert pins.read_token(noise, 'secret-one') is None
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from('abc'), strategies.floats(0.0, 8.0)
+        ),
+        max_size=30,
+    )
+)
+def test_a_lease_has_one_holder_and_its_fence_only_rises(steps):
+    """The next holder wins only when the last one's time is over."""
+    fold = leases.Leases(duration_s=10.0)
+    time = 0.0
+    last_claim = {}
+    before = None
+    for offset, (holder, pause) in enumerate(steps):
+        time += pause
+        claim = msgspec.json.encode(leases.Claim('orders', holder))
+        fold.apply_entry(claim, offset, time)
+        held = fold.held['orders']
+        if before and held.holder != before[0]:
+            assert held.fence > before[1]
+            assert time >= last_claim[before[0]] + 10.0
+        if held.holder == holder:
+            last_claim[holder] = time
+        before = (held.holder, held.fence)
