Name modules by nouns and split the operator's command

Change: agreement, gates, learners; what commands have in common in cli/actions.py. Scenarios: streams leave a slowed server whole and in order, a cascade is billed once with lost replies. Conclusion: behaviour as before.

--- a/arbutuschute/cli/definition.py
+++ b/arbutuschute/cli/definition.py
@@ -1,18 +1,12 @@
 """Arguments and help of the ``arbutuschute`` command, in one place."""
 
-import asyncio
-
-import aiohttp
 import click
-from returns import result
 
+from arbutuschute.cli import actions
 from arbutuschute.cli import output
 from arbutuschute.contracts import changes
-from arbutuschute.contracts import profiles
 from arbutuschute import desk
-from arbutuschute import documents
 
-IN_FORCE_WITHIN_S = 14.0
 PLATFORM_VARIABLE = 'ARBUTUSCHUTE_PLATFORM'
 
 platform_option = click.option(
@@ -51,7 +45,7 @@
 def check(files, as_json):
     """Check profile or organisation FILES without publishing them."""
     for file in files:
-        kind, document = _read_document(file, as_json)
+        kind, document = actions.read_document(file, as_json)
         if not as_json:
             click.echo(f'{file}: {kind} {document.name} is valid')
     if as_json:
@@ -69,37 +63,15 @@
 
     A file with a key_hash is an organisation, any other is a profile.
     """
-    read = [_read_document(file, as_json) for file in files]
+    read = [actions.read_document(file, as_json) for file in files]
 
     def make_changes(configuration):
         return [
-            _make_publication(kind, document, based_on, configuration)
+            actions.make_publication(kind, document, based_on, configuration)
             for kind, document in read
         ]
 
-    _run_changes(platform, make_changes, wait, as_json)
-
-
-def _make_publication(kind, document, based_on, configuration):
-    is_profile = kind == 'profile'
-    make = (
-        changes.PublishProfile if is_profile else changes.PublishOrganisation
-    )
-    change = make(
-        id=desk.make_id(),
-        author=desk.OPERATOR,
-        document=document,
-        based_on=based_on if based_on is not None else -1,
-    )
-    if based_on is not None:
-        return change
-    current = desk.find_revision(configuration, change)
-    return make(
-        id=change.id,
-        author=change.author,
-        document=document,
-        based_on=current,
-    )
+    actions.run_changes(platform, make_changes, wait, as_json)
 
 
 @arbutuschute.group()
@@ -115,7 +87,7 @@
 @json_option
 def withdraw_version(name, reason, wait, platform, as_json):
     """Stop all new work on MODEL:VERSION, in every profile."""
-    model, version = _split_version(name)
+    model, version = actions.split_version(name)
     change = changes.WithdrawVersion(
         id=desk.make_id(),
         author=desk.OPERATOR,
@@ -123,7 +95,7 @@
         version=version,
         reason=reason,
     )
-    _run_changes(platform, lambda _: [change], wait, as_json)
+    actions.run_changes(platform, lambda _: [change], wait, as_json)
 
 
 @withdraw.command(name='profile')
@@ -147,7 +119,7 @@
             )
         ]
 
-    _run_changes(platform, make_changes, wait, as_json)
+    actions.run_changes(platform, make_changes, wait, as_json)
 
 
 @arbutuschute.command()
@@ -157,7 +129,7 @@
 @json_option
 def restore(name, wait, platform, as_json):
     """Allow a withdrawn MODEL:VERSION again."""
-    model, version = _split_version(name)
+    model, version = actions.split_version(name)
 
     def make_changes(configuration):
         return [
@@ -170,7 +142,7 @@
             )
         ]
 
-    _run_changes(platform, make_changes, wait, as_json)
+    actions.run_changes(platform, make_changes, wait, as_json)
 
 
 @arbutuschute.command()
@@ -179,7 +151,9 @@
 @json_option
 def outcome(change_id, platform, as_json):
     """Tell what became of the change ID whose reply was lost."""
-    found = _run(platform, lambda at: at.find_outcome(change_id), as_json)
+    found = actions.run(
+        platform, lambda at: at.find_outcome(change_id), as_json
+    )
     if as_json:
         output.print_json(found)
     else:
@@ -198,7 +172,7 @@
         configuration = await at.read_configuration()
         return configuration.bind(lambda state: desk.read_profile(state, name))
 
-    published = _run(platform, act, as_json)
+    published = actions.run(platform, act, as_json)
     if as_json:
         output.print_json({'name': name, 'revision': published.revision})
     else:
@@ -218,12 +192,12 @@
 @json_option
 def advance(profile, name, wait, platform, as_json):
     """Move the roll-out of MODEL:NEW in PROFILE one step on."""
-    model, new = _split_version(name)
+    model, new = actions.split_version(name)
 
     def make_changes(configuration):
         return [desk.make_advance(configuration, profile, model, new)]
 
-    _run_changes(platform, make_changes, wait, as_json)
+    actions.run_changes(platform, make_changes, wait, as_json)
 
 
 @rollout.command()
@@ -235,12 +209,12 @@
 @json_option
 def halt(profile, name, reason, wait, platform, as_json):
     """Send new sessions back to the version that MODEL:NEW replaces."""
-    model, new = _split_version(name)
+    model, new = actions.split_version(name)
 
     def make_changes(configuration):
         return [desk.make_halt(configuration, profile, model, new, reason)]
 
-    _run_changes(platform, make_changes, wait, as_json)
+    actions.run_changes(platform, make_changes, wait, as_json)
 
 
 @arbutuschute.command()
@@ -248,28 +222,16 @@
 @json_option
 def status(platform, as_json):
     """Show every router instance and what it has in force."""
-    statuses = _run(platform, lambda at: at.ask_routers('status'), as_json)
+    statuses = actions.run(
+        platform, lambda at: at.ask_routers('status'), as_json
+    )
     if as_json:
         output.print_json(statuses)
         return
-    rows = [_make_status_row(name, s) for name, s in statuses.items()]
+    rows = [actions.make_status_row(name, s) for name, s in statuses.items()]
     output.print_table('Instances', rows)
 
 
-def _make_status_row(name, status_document):
-    known = status_document or {}
-    return {
-        'instance': name,
-        'zone': known.get('zone'),
-        'state': known.get('state', 'no answer'),
-        'revision': known.get('offset'),
-        'confirmed': known.get('confirmed'),
-        'in_flight': known.get('in_flight'),
-        'unsettled_bills': known.get('unsettled_bills'),
-        'silent_peers': known.get('silent', ()),
-    }
-
-
 @arbutuschute.command()
 @click.argument('profile')
 @click.option('--organisation', default='', help='Who would ask.')
@@ -278,7 +240,7 @@
 @json_option
 def explain(profile, organisation, session, platform, as_json):
     """Tell where a request under PROFILE would go, on each instance."""
-    answers = _run(
+    answers = actions.run(
         platform,
         lambda at: at.ask_routers(
             'explain',
@@ -311,7 +273,7 @@
 @json_option
 def bills(each, platform, as_json):
     """Sum up the bills, one per request, by the one reading rule."""
-    counted = _run(platform, lambda at: at.read_bills(), as_json)
+    counted = actions.run(platform, lambda at: at.read_bills(), as_json)
     if each:
         rows = [
             {
@@ -338,7 +300,9 @@
 @json_option
 def histograms(platform, as_json):
     """Show latency by organisation and class, for each instance."""
-    answers = _run(platform, lambda at: at.ask_routers('histograms'), as_json)
+    answers = actions.run(
+        platform, lambda at: at.ask_routers('histograms'), as_json
+    )
     if as_json:
         output.print_json(answers)
         return
@@ -355,83 +319,8 @@
 @json_option
 def snapshot(platform, as_json):
     """Append a snapshot of the configuration to the log now."""
-    digest = _run(platform, lambda at: at.write_snapshot(), as_json)
+    digest = actions.run(platform, lambda at: at.write_snapshot(), as_json)
     if as_json:
         output.print_json({'snapshot': digest})
     else:
         click.echo(f'{digest} appended')
-
-
-def _read_document(file, as_json):
-    """Return (kind, document) of a checked file, or end the command."""
-    raw = documents.read_json(file)
-    content = raw.value_or(None)
-    is_organisation = isinstance(content, dict) and 'key_hash' in content
-    kind = 'organisation' if is_organisation else 'profile'
-    checker = (
-        profiles.check_organisation
-        if is_organisation
-        else profiles.check_profile
-    )
-    checked = raw.bind(lambda found: checker(found, file))
-    return kind, _unwrap(checked, as_json)
-
-
-def _split_version(name):
-    model, colon, version = name.partition(':')
-    if not (model and colon and version):
-        raise click.BadParameter(f'expected MODEL:VERSION, got {name}')
-    return model, version
-
-
-def _run(platform, act, as_json):
-    """Run one story at the desk; return its value or end the command."""
-
-    async def run():
-        async with aiohttp.ClientSession() as session:
-            return await act(desk.Desk(session, platform))
-
-    return _unwrap(asyncio.run(run()), as_json)
-
-
-def _unwrap(outcome_or_failure, as_json):
-    if isinstance(outcome_or_failure, result.Failure):
-        output.exit_with(outcome_or_failure.failure(), as_json)
-    return outcome_or_failure.unwrap()
-
-
-def _run_changes(platform, make_changes, wait, as_json):
-    async def act(at):
-        configuration = await at.read_configuration()
-        state = configuration.value_or(None)
-        if state is None:
-            return configuration
-        lines = []
-        for change in make_changes(state):
-            answer = await at.apply_change(change)
-            settled = answer.value_or(None)
-            if settled is None:
-                return answer
-            lines.append((change, settled.offset))
-        if not wait:
-            return result.Success((lines, None))
-        in_force = await at.wait_in_force(lines[-1][1], IN_FORCE_WITHIN_S)
-        return in_force.map(lambda names: (lines, names))
-
-    lines, names = _run(platform, act, as_json)
-    _print_changes(lines, names, as_json)
-
-
-def _print_changes(lines, names, as_json):
-    if as_json:
-        rows = [
-            {'change': change.id, 'revision': revision}
-            for change, revision in lines
-        ]
-        output.print_json({'changes': rows, 'in_force': names})
-        return
-    for change, revision in lines:
-        what = type(change).__struct_config__.tag
-        click.echo(f'{what}: accepted as revision {revision}')
-    if names is not None:
-        click.echo(f'in force on {len(names)} instances: {", ".join(names)}')
--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
+from arbutuschute import agreement
 from arbutuschute.contracts import fold
 from arbutuschute.ledgers import bills
 from arbutuschute.machines import fleet
 from arbutuschute.machines import instances
 from arbutuschute import messages
 from arbutuschute import rollouts
-from arbutuschute import running
 from arbutuschute import streams
 from arbutuschute.zones import rendezvous
 
@@ -235,7 +235,7 @@
 
     def _beat(self, now):
         environment = self._environment
-        confirmed = running.renew_confirmation(environment, now)
+        confirmed = agreement.renew_confirmation(environment, now)
         age_s = None
         if confirmed:
             lease_s = environment.settings.control.lease_s
--- a/arbutuschute/core.py
+++ b/arbutuschute/core.py
@@ -4,35 +4,35 @@
 
 import msgspec
 
+from arbutuschute import agreement
 from arbutuschute import attempts
-from arbutuschute import cascading
 from arbutuschute import errors
+from arbutuschute import learners
 from arbutuschute.ledgers import bills
 from arbutuschute.links import engine
 from arbutuschute.machines import fleet
 from arbutuschute.policy import retry
 from arbutuschute import pools
-from arbutuschute import running
 
 
 async def serve(environment, work, reply):
     """Serve one checked request; raise the failure that ends it."""
-    running.check_open(environment, work)
+    agreement.check_open(environment, work)
     pool = await pools.find_pool(environment, work)
     async with environment.admission.enter(work, pool):
         if work.profile.idempotent:
             await _run_and_bill(environment, work, reply)
         else:
-            await running.run_once(environment, work, reply, _run_and_bill)
+            await agreement.run_once(environment, work, reply, _run_and_bill)
 
 
 async def _run_and_bill(environment, work, reply):
-    running.check_open(environment, work)
-    version = await running.choose_version(environment, work)
+    agreement.check_open(environment, work)
+    version = await agreement.choose_version(environment, work)
     closing = Closing(environment, work, version)
     await closing.open()
     try:
-        if cascading.is_tried(environment, work):
+        if learners.is_tried(environment, work):
             await _run_cascade(environment, work, reply, closing)
         else:
             await _run_with_retries(environment, work, reply, closing)
@@ -46,7 +46,7 @@
     """Try the cheap model; keep its answer or go on to the dear one."""
     cascade = work.profile.cascade
     work.model = cascade.cheap
-    held = cascading.HeldReply(environment, work, reply)
+    held = learners.HeldReply(environment, work, reply)
     try:
         await _run_with_retries(environment, work, held, closing)
     except errors.Failure:
@@ -67,7 +67,7 @@
     def __init__(self, environment, work, version):
         self._environment = environment
         self._work = work
-        self._bill = running.make_bill(environment, work, version)
+        self._bill = agreement.make_bill(environment, work, version)
         self._spent = 0.0
         self.tokens = 0
 
@@ -125,8 +125,8 @@
     last = None
     environment.budget.earn()
     while True:
-        running.check_open(environment, work)
-        version = await running.choose_version(environment, work)
+        agreement.check_open(environment, work)
+        version = await agreement.choose_version(environment, work)
         server = _choose_server(environment, work, version, tried, last)
         tries += 1
         try:
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -11,11 +11,12 @@
 from aiohttp import web
 import statsd
 
-from arbutuschute import admitting
-from arbutuschute import cascading
+from arbutuschute import agreement
 from arbutuschute.contracts import history
 from arbutuschute import control
 from arbutuschute import environment
+from arbutuschute import gates
+from arbutuschute import learners
 from arbutuschute.ledgers import bills
 from arbutuschute.ledgers import claims
 from arbutuschute.ledgers import commit
@@ -35,7 +36,6 @@
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
 from arbutuschute.policy import retry
-from arbutuschute import running
 from arbutuschute import streams
 from arbutuschute import timer
 from arbutuschute.zones import membership
@@ -66,7 +66,7 @@
     _build_links(made)
     _build_ledgers(made)
     made.fleet = fleet.Fleet()
-    made.admission = admitting.Admission(
+    made.admission = gates.Admission(
         made.timer, made.metrics, lambda: _count_live_routers(made)
     )
     made.budget = retry.Budget()
@@ -74,7 +74,7 @@
     made.moves = migration.Budget()
     made.guard = guard.Guard()
     made.halts = set()
-    made.learners = cascading.Learners()
+    made.learners = learners.Learners()
     made.raters = rating.Raters(
         made.http, settings.platform.rating, made.timer, made.metrics
     )
@@ -150,7 +150,9 @@
         made.identity,
         made.peers.send,
         lambda key: made.membership.rank_owners(key, made.timer.now()),
-        lambda session, version: running.is_pin_usable(made, session, version),
+        lambda session, version: agreement.is_pin_usable(
+            made, session, version
+        ),
     )
 
 
--- a/arbutuschute/links/caller.py
+++ b/arbutuschute/links/caller.py
@@ -7,11 +7,11 @@
 from aiohttp import web
 import msgspec
 
-from arbutuschute import cascading
+from arbutuschute import agreement
 from arbutuschute import core
 from arbutuschute import errors
+from arbutuschute import learners
 from arbutuschute.ledgers import pins
-from arbutuschute import running
 from arbutuschute import work as work_module
 
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
@@ -74,7 +74,7 @@
         headers['X-Version'] = version.version
         work = self._work
         if work.session is not None or work.token is not None:
-            headers['X-Session-Token'] = running.make_token(
+            headers['X-Session-Token'] = agreement.make_token(
                 self._environment, work, version
             )
             old = work.token and work.token.versions.get(version.model)
@@ -98,7 +98,7 @@
         """Close the bill, then answer whole."""
         await closing.finish(version, usage)
         self._work.answer_started = True
-        cascading.rate_dear(self._environment, self._work, version, body)
+        learners.rate_dear(self._environment, self._work, version, body)
         await self.answer(200, JSON_TYPE, body, version, server)
 
     async def replay(self, outcome):
--- a/arbutuschute/links/operators.py
+++ b/arbutuschute/links/operators.py
@@ -3,11 +3,11 @@
 from aiohttp import web
 import msgspec
 
+from arbutuschute import agreement
 from arbutuschute.contracts import fold
 from arbutuschute import errors
 from arbutuschute.policy import choice
 from arbutuschute.policy import rollout
-from arbutuschute import running
 
 
 class OperatorsLink:
@@ -44,7 +44,7 @@
                 'state': environment.state,
                 'offset': configuration.offset,
                 'digest': fold.compute_digest(configuration),
-                'confirmed': running.is_confirmed(environment),
+                'confirmed': agreement.is_confirmed(environment),
                 'peers': sorted(
                     m.name for m in environment.membership.find_live(now)
                 ),
@@ -91,7 +91,7 @@
                 'profile': name,
                 'revision': published.revision,
                 'allowed': organisation in profile.organisations,
-                'confirmed': running.is_confirmed(environment),
+                'confirmed': agreement.is_confirmed(environment),
                 'models': [
                     self._explain_model(profile, model, key)
                     for model in profile.find_models()
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -10,10 +10,10 @@
 import aiohttp
 import msgspec
 
+from arbutuschute import agreement
 from arbutuschute.contracts import changes
 from arbutuschute.ledgers import leases
 from arbutuschute.policy import desired
-from arbutuschute import running
 from arbutuschute import streams
 
 LEASE = 'orders'
@@ -58,7 +58,7 @@
     async def tick(self, now):
         """Renew or claim the lease if it is our turn; then give orders."""
         environment = self._environment
-        if not running.is_confirmed(environment):
+        if not agreement.is_confirmed(environment):
             return
         if self._is_due(now):
             await self._claim(now)
--- a/arbutuschute/pools.py
+++ b/arbutuschute/pools.py
@@ -1,7 +1,7 @@
 """Pools: the backend servers that a request may go to."""
 
+from arbutuschute import agreement
 from arbutuschute.policy import choice
-from arbutuschute import running
 
 
 def find_servers(environment, work, version):
@@ -15,7 +15,7 @@
     """Return (name, servers) of the pool that a request will wait for."""
     if work.profile.service:
         return f'/{work.profile.service}', ()
-    version = await running.choose_version(environment, work)
+    version = await agreement.choose_version(environment, work)
     return ':'.join(version.pair), find_servers(environment, work, version)
 
 
--- a/arbutuschute/rollouts.py
+++ b/arbutuschute/rollouts.py
@@ -5,11 +5,11 @@
 that two judges, or one that repeats itself, do no harm.
 """
 
+from arbutuschute import agreement
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import fold
 from arbutuschute import errors
 from arbutuschute import messages
-from arbutuschute import running
 from arbutuschute import streams
 
 JUDGES = 2
@@ -100,7 +100,7 @@
 
     async def _judge(self, key, progress):
         environment = self._environment
-        if not running.is_confirmed(environment):
+        if not agreement.is_confirmed(environment):
             return
         new = name_subject(key, progress, 'new')
         old = name_subject(key, progress, 'old')
--- a/arbutuschute/standin/engine.py
+++ b/arbutuschute/standin/engine.py
@@ -193,7 +193,6 @@
         )
         await response.prepare(request)
         tokens = body.get('max_tokens', DEFAULT_TOKENS)
-        pace_s = self.token_s * self.switches.now.slow_factor
         await asyncio.sleep(self.first_token_s)
         due = time.monotonic()
         index = start
@@ -203,6 +202,7 @@
             if self._breaks_at(index - start):
                 request.transport.abort()
                 return response
+            pace_s = self.token_s * self.switches.now.slow_factor
             due += pace_s
             ready = 1
             late = time.monotonic() - due
--- a/tests/scenarios/answers.feature
+++ b/tests/scenarios/answers.feature
@@ -34,6 +34,16 @@
     Then all answers have status 200
     And each answer is that of its own request
 
+  @whole-answer
+  Scenario: streams leave a server that has become slow
+    Given an engine "e2" with versions "rapport:1"
+    And an engine "e3" with versions "rapport:1"
+    When callers start 9 streams of 300 tokens at "r1"
+    And "e1" becomes 40 times slower
+    And all callers have their answers
+    Then all answers are whole with 300 tokens in order
+    And "r1" has counted "answers.moved"
+
   @not-run
   Scenario: every engine refuses
     Given "e1" refuses everything
--- a/tests/scenarios/billing.feature
+++ b/tests/scenarios/billing.feature
@@ -29,6 +29,15 @@
     And "r2" is killed
     Then each of the 1 requests has exactly one bill
 
+  Scenario: a cheap model is tried first and its reply to the log is lost
+    Given an engine "e2" with versions "petit:1"
+    And a profile "reports" with a cascade from "petit:1" to "rapport:1"
+    And the next 2 replies of the log for "bills" are lost
+    When callers send 60 requests at "r1"
+    Then all answers have status 200
+    And "r1" has counted "cascade.escalated"
+    And each of the 60 requests has exactly one bill
+
   Scenario: a balancer repeats a request whose instance was killed
     When a caller starts a stream of 400 tokens at "r1" with id "q1"
     And "r1" is killed
--- a/tests/scenarios/given_steps.py
+++ b/tests/scenarios/given_steps.py
@@ -66,6 +66,25 @@
     world.run(world.deployed.publish_basics(profile))
 
 
+@given(
+    parsers.parse(
+        'a profile "{name}" with a cascade from "{cheap}" to "{dear}"'
+    )
+)
+def publish_cascade(world, name, cheap, dear):
+    profile = deployment.make_profile(
+        name,
+        (cheap, dear),
+        cascade={
+            'cheap': cheap.split(':')[0],
+            'dear': dear.split(':')[0],
+            'quality_target': 0.9,
+        },
+    )
+    code, out, err = world.run(world.deployed.publish(profile, wait=True))
+    assert code == 0, out + err
+
+
 @given(parsers.parse('routers "{places}"'))
 def start_routers(world, places):
     pairs = [place.split(' in ') for place in stage.split(places)]
--- a/tests/scenarios/then_steps.py
+++ b/tests/scenarios/then_steps.py
@@ -132,11 +132,27 @@
 @then(parsers.parse('the answer is whole with {count:d} tokens in order'))
 def check_whole(world, count):
     (answer,) = world.answers
+    check_tokens(answer, count)
+
+
+def check_tokens(answer, count):
     assert answer.is_whole, answer.body[-300:]
     numbers = [int(token.split('.')[1]) for token in answer.text.split()]
     assert numbers == list(range(count))
 
 
+@then(parsers.parse('all answers are whole with {count:d} tokens in order'))
+def check_all_whole(world, count):
+    for answer in world.answers:
+        check_tokens(answer, count)
+
+
+@then(parsers.parse('"{name}" has counted "{counter}"'))
+def check_counter(world, name, counter):
+    status = world.run(world.deployed.get_status(name))
+    assert status['counters'].get(counter, 0) > 0
+
+
 @then('no answer looks whole')
 def check_not_whole(world):
     assert not any(answer.is_whole for answer in world.answers)
--- a/tests/scenarios/when_steps.py
+++ b/tests/scenarios/when_steps.py
@@ -440,3 +440,18 @@
 @when('the holder thaws')
 def thaw_holder(world):
     world.deployed.processes[world.holder].thaw()
+
+
+@when(
+    parsers.parse(
+        'callers start {streams:d} streams of {count:d} tokens at "{name}"'
+    )
+)
+def start_streams(world, streams, count, name):
+    for _ in range(streams):
+        start_stream(world, count, name)
+
+
+@when(parsers.parse('"{name}" becomes {factor:d} times slower'))
+def slow_engine(world, name, factor):
+    world.run(world.deployed.set_faults(name, slow_factor=factor))
