Scale what grew with the fleet, and give long work all of its slots

Cause: docs/CAPACITY.md worked out for 410 routers: 1,640 appends of bills a second, 410 messages of evidence a second at a judge, one holder asking 1,200 engines each second, and heartbeats of a relay at 6.2% of a core by the worst measured slope. Change: appends and evidence are spaced by the size of the fleet, engines are looked at in turns, relays speak to other zones on every second heartbeat, the claim window is six hours (954 bytes a claim); engines may queue 1.3 of their slots and long work may have them all.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -15,6 +15,7 @@
 LOAD_PERIOD_S = 0.5
 PUMP_PERIOD_S = 0.1
 PACE_PERIOD_S = 0.25
+MANY_NEIGHBOURS = 32
 LIST_ENTRY_BYTES = 200
 LIST_BYTES_PER_S = 8_000
 PIN_MESSAGES = (messages.AskPin, messages.TellPin, messages.CopyPin)
@@ -25,6 +26,7 @@
     """The control plane of one router; subscribes to ticks and messages."""
 
     __slots__ = (
+        '_beats',
         '_confirmed',
         '_environment',
         '_history',
@@ -41,6 +43,7 @@
         self._confirmed = None
         self._polling = set()
         self._ordering = False
+        self._beats = 0
         self._rollouts = rollouts.RolloutControl(environment)
         self._snapshot_at = 0.0
         self._tasks = set()
@@ -241,7 +244,8 @@
             lease_s = environment.settings.control.lease_s
             age_s = lease_s - (environment.confirmed_until - now)
         polled = environment.fleet.make_reports(self._find_own_polls(now), now)
-        for member in environment.membership.find_neighbours():
+        self._beats += 1
+        for member in self._choose_listeners():
             mate = member.zone == environment.settings.zone
             environment.peers.send(
                 member.name,
@@ -279,6 +283,17 @@
         finally:
             self._ordering = False
 
+    def _choose_listeners(self):
+        """Return whom to send this heartbeat to.
+
+        With many neighbours, other zones get every second one only.
+        """
+        neighbours = self._environment.membership.find_neighbours()
+        if len(neighbours) <= MANY_NEIGHBOURS or self._beats % 2 == 0:
+            return neighbours
+        zone = self._environment.settings.zone
+        return [member for member in neighbours if member.zone == zone]
+
     def _note_confirmed(self, confirmed):
         if confirmed != self._confirmed:
             self._environment.log.info('configuration lease', held=confirmed)
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -45,6 +45,7 @@
 CHECK_PERIOD_S = 0.02
 ENGINE_CONNECTIONS = 0
 KEEPALIVE_S = 30.0
+BILL_APPENDS_PER_S = 200.0
 
 
 def build(settings, loop):
@@ -81,6 +82,17 @@
     return made
 
 
+def _find_flush_period(made):
+    """Return seconds between two appends of bills.
+
+    The log takes several hundred appends a second from all instances.
+    """
+    routers = 1 + len(made.membership.members)
+    return max(
+        made.settings.control.bills_flush_s, routers / BILL_APPENDS_PER_S
+    )
+
+
 def _count_live_routers(made):
     """Return how many routers share the pools of the own region."""
     return 1 + sum(
@@ -133,7 +145,7 @@
         made.log_client,
         streams.BILLS,
         made.timer,
-        settings.control.bills_flush_s,
+        lambda: _find_flush_period(made),
     )
     made.kept = bills.Kept()
     made.keeping = keeping.Keeping(
--- a/arbutuschute/ledgers/commit.py
+++ b/arbutuschute/ledgers/commit.py
@@ -26,8 +26,8 @@
 
     __slots__ = (
         '_client',
+        '_find_period_s',
         '_pending',
-        '_period_s',
         '_stream',
         '_timer',
         '_urgent',
@@ -35,11 +35,11 @@
         'failing_since',
     )
 
-    def __init__(self, client, stream, timer, period_s=0.0):
+    def __init__(self, client, stream, timer, find_period_s=lambda: 0.0):
         self._client = client
         self._stream = stream
         self._timer = timer
-        self._period_s = period_s
+        self._find_period_s = find_period_s
         self._pending = collections.deque()
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
@@ -80,10 +80,11 @@
 
     async def _gather(self):
         """Let entries gather for a period, unless one is urgent."""
-        if not self._period_s or len(self._pending) >= BATCH_ENTRIES:
+        period_s = self._find_period_s()
+        if not period_s or len(self._pending) >= BATCH_ENTRIES:
             return
         with contextlib.suppress(asyncio.TimeoutError):
-            await asyncio.wait_for(self._urgent.wait(), self._period_s)
+            await asyncio.wait_for(self._urgent.wait(), period_s)
 
     async def _append_batch(self):
         count = min(len(self._pending), BATCH_ENTRIES)
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -20,6 +20,7 @@
 ORDER_TIMEOUT_S = 1.0
 MARGIN_SHARE = 0.2
 RENEW_SHARE = 0.5
+LOOKS_PER_TICK = 16
 
 
 class _Seen(msgspec.Struct, frozen=True):
@@ -32,7 +33,9 @@
     __slots__ = (
         '_environment',
         '_leases',
+        '_seen',
         '_since',
+        '_turns',
         '_valid_until',
         'duration_s',
     )
@@ -43,6 +46,8 @@
         self.duration_s = known_leases.duration_s
         self._valid_until = float('-inf')
         self._since = None
+        self._seen = {}
+        self._turns = []
 
     @property
     def _holder(self):
@@ -104,13 +109,12 @@
             for server in environment.fleet.servers.values()
             if server.instance.kind == 'engine' and not server.leaving
         }
-        seen = await asyncio.gather(*map(self._look, engines.values()))
-        loaded = {
-            name: versions
-            for name, versions in zip(engines, seen, strict=True)
-            if versions is not None
-        }
-        for order in desired.find_orders(environment.configuration, loaded):
+        await self._look_at_some(engines)
+        for order in desired.find_orders(
+            environment.configuration, self._seen
+        ):
+            if order.action == 'load' and len(self._seen) < len(engines):
+                continue
             server = engines[order.server]
             waited_s = environment.timer.now() - self._since
             if not server.instance.checks_fencing and (
@@ -119,6 +123,30 @@
                 continue
             await self._give(order, server)
 
+    async def _look_at_some(self, engines):
+        """See what the next few engines have loaded; a sweep sees all.
+
+        Engines that are listed with a withdrawn version come first.
+        """
+        withdrawn = self._environment.configuration.withdrawn.keys()
+        for name in self._seen.keys() - engines.keys():
+            del self._seen[name]
+        self._turns = [name for name in self._turns if name in engines]
+        self._turns += [n for n in sorted(engines) if n not in self._turns]
+        self._turns.sort(
+            key=lambda name: not withdrawn & set(self._seen.get(name, ()))
+        )
+        names = self._turns[:LOOKS_PER_TICK]
+        self._turns = self._turns[LOOKS_PER_TICK:] + names
+        looked = await asyncio.gather(
+            *(self._look(engines[name]) for name in names)
+        )
+        for name, versions in zip(names, looked, strict=True):
+            if versions is None:
+                self._seen.pop(name, None)
+            else:
+                self._seen[name] = versions
+
     async def _look(self, server):
         """Return the versions seen on an engine, or None if it is silent."""
         answer = await self._call('GET', f'{server.instance.address}/load')
--- a/arbutuschute/policy/admission.py
+++ b/arbutuschute/policy/admission.py
@@ -10,8 +10,8 @@
 
 from arbutuschute import errors
 
-ROOM_LOAD = 1.2
-LONG_SHARE_OF_SLOTS = 0.9
+ROOM_LOAD = 1.3
+LONG_SHARE_OF_SLOTS = 1.0
 LONG_PRIORITY = 5
 LEAST_COST_S = 0.001
 # A forecast of the wait is short when others' demand is about to grow.
--- a/arbutuschute/rollouts.py
+++ b/arbutuschute/rollouts.py
@@ -13,6 +13,7 @@
 from arbutuschute import streams
 
 JUDGES = 2
+TOLD_PER_S = 100.0
 FIRST_TOKEN_TARGET_S = 0.36
 TOKEN_TARGET_S = 0.07
 FAULTS = (errors.AnswerBroken, errors.AnswerCrossed)
@@ -67,16 +68,17 @@
 class RolloutControl:
     """Tells the judges, and judges where this instance is one."""
 
-    __slots__ = ('_environment', '_under_way')
+    __slots__ = ('_environment', '_told_at', '_under_way')
 
     def __init__(self, environment):
         self._environment = environment
         self._under_way = set()
+        self._told_at = float('-inf')
 
     async def tick(self, now):
         """Send the own counters and decide on the roll-outs judged here."""
         environment = self._environment
-        evidence = environment.guard.tell()
+        evidence = self._gather_evidence(now)
         for key, progress in list(environment.configuration.rollouts.items()):
             if progress.halted:
                 continue
@@ -89,6 +91,17 @@
                 if mine and judge != environment.name:
                     self._tell(judge, mine)
 
+    def _gather_evidence(self, now):
+        """Return the own counters when it is time to tell them again.
+
+        A judge hears from everybody, so a large fleet tells more rarely.
+        """
+        routers = len(self._environment.membership.members)
+        if now - self._told_at < routers / TOLD_PER_S:
+            return ()
+        self._told_at = now
+        return self._environment.guard.tell()
+
     def _tell(self, judge, evidence):
         sender, incarnation = self._environment.identity
         self._environment.peers.send(
--- a/arbutuschute/settings.py
+++ b/arbutuschute/settings.py
@@ -68,7 +68,7 @@
     instances_s: Seconds = 1.0
     log_timeout_s: Seconds = 2.0
     bills_flush_s: Seconds = 0.25
-    claim_window_s: Seconds = 86_400.0
+    claim_window_s: Seconds = 21_600.0
     log_retention_s: Seconds = 604_800.0
     drain_s: Seconds = 30.0
     leave_s: Seconds = 2.0
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,7 +27,7 @@
 from tests import deployment
 
 WATCH_S = 10.0
-FLEETS = ((2, 2), (4, 4), (8, 6), (12, 5))
+FLEETS = ((2, 2), (4, 4), (12, 5), (20, 3))
 ENGINES = (0, 24)
 CHANGES = 40
 PAGE_KB = os.sysconf('SC_PAGE_SIZE') / 1024
