--- a/arbutuschute/agreement.py
+++ b/arbutuschute/agreement.py
@@ -160,7 +160,7 @@
 
 async def run_once(environment, work, reply, run):
     """Run work that may run once only, under a claim in the log."""
-    if not environment.claims_complete():
+    if not _is_window_known(environment):
         raise errors.StoreDown('claims')
     claim = await _win_claim(environment, work)
     if isinstance(claim, claims.Outcome):
@@ -178,6 +178,20 @@
     await asyncio.wait([recorded], timeout=OUTCOME_PATIENCE_S)
 
 
+def _is_window_known(environment):
+    """Tell whether every claim of the window is known here."""
+    tail = environment.claims_tail
+    if tail.first is None:
+        return False
+    if tail.first == 0:
+        return True
+    window_s = environment.settings.control.claim_window_s
+    return (
+        tail.first_time is not None
+        and tail.first_time + window_s <= environment.timer.wall()
+    )
+
+
 async def _win_claim(environment, work):
     """Return our winning ``Claim``, or the ``Outcome`` of another's.
 
--- a/arbutuschute/desk.py
+++ b/arbutuschute/desk.py
@@ -228,29 +228,28 @@
 
 def make_advance(state, profile, model, new):
     """Return the change that moves a roll-out one step on."""
-    rollout = _find_rollout(state, profile, model, new)
-    return changes.AdvanceRollout(
-        id=make_id(),
-        author=OPERATOR,
-        profile=profile,
-        revision=rollout.revision,
-        model=model,
-        new=new,
-        step=rollout.step + 1,
+    step = _find_rollout(state, profile, model, new).step + 1
+    return _make_rollout_change(
+        changes.AdvanceRollout, state, profile, model, new, step=step
     )
 
 
 def make_halt(state, profile, model, new, reason):
     """Return the change that halts a roll-out."""
-    rollout = _find_rollout(state, profile, model, new)
-    return changes.HaltRollout(
+    return _make_rollout_change(
+        changes.HaltRollout, state, profile, model, new, evidence=reason
+    )
+
+
+def _make_rollout_change(kind, state, profile, model, new, **more):
+    return kind(
         id=make_id(),
         author=OPERATOR,
         profile=profile,
-        revision=rollout.revision,
+        revision=_find_rollout(state, profile, model, new).revision,
         model=model,
         new=new,
-        evidence=reason,
+        **more,
     )
 
 
--- a/arbutuschute/environment.py
+++ b/arbutuschute/environment.py
@@ -50,16 +50,3 @@
     def identity(self):
         """The pair (name, incarnation) that this process goes by."""
         return self.settings.name, self.incarnation
-
-    def claims_complete(self):
-        """Tell whether every claim of the window is known here."""
-        tail = self.claims_tail
-        if tail.first is None:
-            return False
-        if tail.first == 0:
-            return True
-        window_s = self.settings.control.claim_window_s
-        return (
-            tail.first_time is not None
-            and tail.first_time + window_s <= self.timer.wall()
-        )
--- a/arbutuschute/load/crest.py
+++ b/arbutuschute/load/crest.py
@@ -7,6 +7,7 @@
 from arbutuschute.load import gated
 
 SECONDS = 240.0
+UNTIL_S = SECONDS + 2_000.0
 ENGINES = 9
 SLOTS = 16
 BASE_LOAD = 0.8
@@ -56,29 +57,17 @@
     made = fleet.Fleet(seed, ENGINES, SLOTS)
     gates = gated.Gated(made, lambda _: None)
     mean_s = fleet.find_mean_work(seed)
-    jobs = make_jobs(seed)
-    for job in jobs:
-        made.timer.call_after(
-            job.arrived_at, lambda job=job: gates.arrive(job, mean_s)
-        )
-    made.timer.advance(SECONDS + 300.0)
-    return jobs
+
+    def arrive(job):
+        gates.arrive(job, mean_s)
+
+    return fleet.run_jobs(made, make_jobs(seed), arrive, UNTIL_S)
 
 
 def run_naive(seed):
     """Return all jobs, first come first served without shares."""
     made = fleet.Fleet(seed, ENGINES, SLOTS)
-    jobs = make_jobs(seed)
-
-    def arrive(job):
-        view = made.next_view()
-        server = fleet.choose_by_own(view)
-        made.send(view, server, job, lambda _: None, in_order=True)
-
-    for job in jobs:
-        made.timer.call_after(job.arrived_at, lambda job=job: arrive(job))
-    made.timer.advance(SECONDS + 2000.0)
-    return jobs
+    return fleet.run_naive(made, make_jobs(seed), UNTIL_S)
 
 
 def measure_goodput(jobs):
--- a/arbutuschute/load/fleet.py
+++ b/arbutuschute/load/fleet.py
@@ -143,6 +143,24 @@
         self.engines[server.name].submit(job, done, in_order)
 
 
+def run_jobs(made, jobs, arrive, until_s):
+    """Let each job arrive in its time and run on until ``until_s``."""
+    for job in jobs:
+        made.timer.call_after(job.arrived_at, lambda job=job: arrive(job))
+    made.timer.advance(until_s)
+    return jobs
+
+
+def run_naive(made, jobs, until_s):
+    """Run jobs by least in flight, first come, first served, no shares."""
+
+    def arrive(job):
+        view = made.next_view()
+        made.send(view, choose_by_own(view), job, lambda _: None, True)
+
+    return run_jobs(made, jobs, arrive, until_s)
+
+
 def choose_ours(view):
     """Choose as the router does."""
     return choice.choose_server(view.servers, view.pace, view.random)
--- a/arbutuschute/load/latency.py
+++ b/arbutuschute/load/latency.py
@@ -10,6 +10,7 @@
 from arbutuschute.policy import pace
 
 SECONDS = 120.0
+UNTIL_S = SECONDS + 600.0
 WARM_S = 10.0
 ENGINES = 9
 SLOTS = 16
@@ -29,9 +30,7 @@
         view = made.next_view()
         made.send(view, choose(view), job, lambda _: None)
 
-    for job in jobs:
-        made.timer.call_after(job.arrived_at, lambda job=job: arrive(job))
-    made.timer.advance(SECONDS + 600.0)
+    fleet.run_jobs(made, jobs, arrive, UNTIL_S)
     return [job.wait_s for job in jobs if job.arrived_at > WARM_S]
 
 
--- a/arbutuschute/load/slowed.py
+++ b/arbutuschute/load/slowed.py
@@ -3,6 +3,7 @@
 from arbutuschute.load import fleet
 
 SECONDS = 240.0
+UNTIL_S = SECONDS + 600.0
 WARM_S = 20.0
 ENGINES = 9
 SLOTS = 16
@@ -27,11 +28,9 @@
         server = choose(view)
         made.send(view, server, job, lambda done: times.append(done))
 
-    for job in jobs:
-        made.timer.call_after(job.arrived_at, lambda job=job: arrive(job))
     if slowed:
         made.timer.every(MOMENT_S).subscribe(lambda now: _slow_next(made, now))
-    made.timer.advance(SECONDS + 600.0)
+    fleet.run_jobs(made, jobs, arrive, UNTIL_S)
     return [job.total_s for job in times if job.arrived_at > WARM_S]
 
 
--- a/arbutuschute/load/waiting.py
+++ b/arbutuschute/load/waiting.py
@@ -4,6 +4,7 @@
 from arbutuschute.load import gated
 
 SECONDS = 300.0
+UNTIL_S = SECONDS + 600.0
 WARM_S = 20.0
 ENGINES = 9
 SLOTS = 16
@@ -46,30 +47,17 @@
     made = fleet.Fleet(seed, ENGINES, SLOTS)
     gates = gated.Gated(made, lambda _: None)
     expected = {'short': SHORT_MEAN_S, 'long': LONG_MEAN_S}
-    jobs = make_jobs(seed)
-    for job in jobs:
-        made.timer.call_after(
-            job.arrived_at,
-            lambda job=job: gates.arrive(job, expected[job.class_name]),
-        )
-    made.timer.advance(SECONDS + 600.0)
-    return jobs
+
+    def arrive(job):
+        gates.arrive(job, expected[job.class_name])
+
+    return fleet.run_jobs(made, make_jobs(seed), arrive, UNTIL_S)
 
 
 def run_naive(seed):
     """Return all jobs after least in flight, first come first served."""
     made = fleet.Fleet(seed, ENGINES, SLOTS)
-    jobs = make_jobs(seed)
-
-    def arrive(job):
-        view = made.next_view()
-        server = fleet.choose_by_own(view)
-        made.send(view, server, job, lambda _: None, in_order=True)
-
-    for job in jobs:
-        made.timer.call_after(job.arrived_at, lambda job=job: arrive(job))
-    made.timer.advance(SECONDS + 600.0)
-    return jobs
+    return fleet.run_naive(made, make_jobs(seed), UNTIL_S)
 
 
 def measure(jobs, class_name):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path through separate processes, and bad input on it."""
 
 import json
+import pathlib
 import subprocess
 
 import pytest
@@ -8,6 +9,7 @@
 from tests import deployment
 
 TEN_TOKENS = 10
+EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
 
 
 async def start_small(deployed, *profiles):
@@ -111,6 +113,19 @@
     assert await deployed.find_runs('e1') == []
 
 
+async def test_examples_are_valid(deployed):
+    files = sorted(map(str, EXAMPLES.glob('*/*.json')))
+    assert len(files) == 6
+    code, out, err = await deployed.run_desk('check', *files)
+    assert code == 0, err
+    assert out.count('is valid') == len(files)
+    settings = str(EXAMPLES / 'settings.json')
+    process = deployment.Process(
+        'r', 'arbutuschute.cli.router', settings, '--check'
+    )
+    assert await process.wait() == 0
+
+
 async def test_broken_settings_name_every_fault_by_its_path(
     deployed, tmp_path
 ):
