Keep bills in other zones also where those are no neighbours

Cause: since relays, a router that is none heard its own zone only and chose its keepers there, so that the loss of a zone lost open bills. And the first bill after a start could go to the log as opened with no keeper chosen yet; if its owner died nobody settled it (seen as two flaky billing scenarios). Excluded: the mesh wait of the tests (the peers were heard), the reading rule. Change: keepers are chosen from the list, heartbeats go to keepers and to owners whose bills are kept, a restarted keeper is told by its incarnation and gets everything again, a silent one is passed over for longer each time; an owner without chosen keepers chooses before it opens a bill.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -172,7 +172,7 @@
             self._keep_bills(message)
         elif isinstance(message, messages.BillsKept):
             environment.keeping.accept_ack(
-                (message.sender, message.incarnation), message.seq
+                message.sender, message.incarnation, message.seq
             )
         elif isinstance(message, messages.TellEvidence):
             environment.guard.hear(
@@ -200,6 +200,9 @@
         environment = self._environment
         now = environment.timer.now()
         environment.membership.hear(heartbeat, now)
+        environment.keeping.note_incarnation(
+            heartbeat.sender, heartbeat.incarnation
+        )
         for report in heartbeat.reports:
             environment.fleet.accept_report(report, now)
         if (
@@ -286,13 +289,24 @@
     def _choose_listeners(self):
         """Return whom to send this heartbeat to.
 
+        Besides the neighbours those whose bills we keep and who keep ours.
         With many neighbours, other zones get every second one only.
         """
-        neighbours = self._environment.membership.find_neighbours()
-        if len(neighbours) <= MANY_NEIGHBOURS or self._beats % 2 == 0:
-            return neighbours
-        zone = self._environment.settings.zone
-        return [member for member in neighbours if member.zone == zone]
+        environment = self._environment
+        members = environment.membership.members
+        chosen = {
+            member.name: member
+            for member in environment.membership.find_neighbours()
+        }
+        if len(chosen) > MANY_NEIGHBOURS and self._beats % 2:
+            zone = environment.settings.zone
+            chosen = {n: m for n, m in chosen.items() if m.zone == zone}
+        partners = (
+            environment.keeping.keeper_names | environment.kept.owner_names
+        )
+        for name in partners & members.keys():
+            chosen[name] = members[name]
+        return list(chosen.values())
 
     def _note_confirmed(self, confirmed):
         if confirmed != self._confirmed:
--- a/arbutuschute/ledgers/bills.py
+++ b/arbutuschute/ledgers/bills.py
@@ -105,6 +105,11 @@
     def __len__(self):
         return sum(len(held) for held in self._by_owner.values())
 
+    @property
+    def owner_names(self):
+        """The names of the owners whose entries are kept here."""
+        return {name for name, _ in self._by_owner}
+
     def keep(self, owner, packed_bills, settled):
         """Take in entries of an owner and forget the settled ones."""
         held = self._by_owner.setdefault(owner, {})
--- a/arbutuschute/ledgers/keeping.py
+++ b/arbutuschute/ledgers/keeping.py
@@ -9,6 +9,7 @@
 
 ACK_TIMEOUT_S = 0.3
 PAUSE_KEEPER_S = 2.0
+PAUSE_MOST_S = 30.0
 PATIENCE_S = 2.0
 
 
@@ -48,7 +49,9 @@
 
     __slots__ = (
         'entries',
+        'incarnation',
         'outstanding',
+        'pause_s',
         'paused_until',
         'sent_at',
         'seq',
@@ -62,7 +65,9 @@
         self.settled = []
         self.waiting = []
         self.under_way = []
+        self.incarnation = 0
         self.outstanding = None
+        self.pause_s = PAUSE_KEEPER_S
         self.seq = 0
         self.sent_at = 0.0
         self.paused_until = float('-inf')
@@ -73,7 +78,7 @@
 
     A message to a keeper carries all that gathered while the one before
     it was under way, so that a keeper costs one message per round trip.
-    A keeper is named by (name, incarnation): one that restarted is new.
+    A keeper that restarted is new, and gets all that is unsettled.
     """
 
     __slots__ = (
@@ -116,6 +121,8 @@
         if len(self._unsettled) >= self._limit:
             self._metrics.count('bills.limit')
             raise errors.StoreDown('bills')
+        if not self._chosen:
+            self._choose_keepers(self._timer.now())
         self._unsettled[bill.id] = bill
         securing = self._start(max(1, len(self._chosen)))
         self._hand_to_keepers(bill, securing)
@@ -154,18 +161,36 @@
     def _commit_bill(self, bill, urgent):
         return self._commit.put(bills.encode(bill), urgent)
 
-    def accept_ack(self, keeper_name, seq):
+    @property
+    def keeper_names(self):
+        """The names of all keepers that may hold entries of ours."""
+        return set(self._keepers)
+
+    def accept_ack(self, keeper_name, incarnation, seq):
         """Take in a keeper's acknowledgement."""
         keeper = self._keepers.get(keeper_name)
-        if keeper is None or keeper.outstanding is None or seq != keeper.seq:
+        if keeper is None:
+            return
+        self.note_incarnation(keeper_name, incarnation)
+        if keeper.outstanding is None or seq != keeper.seq:
             return
         keeper.outstanding = None
         keeper.paused_until = float('-inf')
+        keeper.pause_s = PAUSE_KEEPER_S
         for securing in keeper.under_way:
             securing.ack()
         keeper.under_way = []
         self._flush(keeper_name, keeper)
 
+    def note_incarnation(self, keeper_name, incarnation):
+        """Hand everything over again to a keeper that has restarted."""
+        keeper = self._keepers.get(keeper_name)
+        if keeper is None or incarnation <= keeper.incarnation:
+            return
+        if keeper.incarnation:
+            keeper.entries.update(self._unsettled)
+        keeper.incarnation = incarnation
+
     def check(self):
         """Let no request wait for ever on a keeper that is silent."""
         now = self._timer.now()
@@ -173,7 +198,9 @@
             securing.check(now)
         for name, keeper in self._keepers.items():
             if keeper.outstanding and now - keeper.sent_at > ACK_TIMEOUT_S:
-                keeper.paused_until = now + PAUSE_KEEPER_S
+                if keeper.paused_until <= now:
+                    keeper.paused_until = now + keeper.pause_s
+                    keeper.pause_s = min(2 * keeper.pause_s, PAUSE_MOST_S)
                 self._transmit(name, keeper)
         self._choose_keepers(now)
 
@@ -237,4 +264,4 @@
 
     def _transmit(self, name, keeper):
         keeper.sent_at = self._timer.now()
-        self._send(name[0], keeper.outstanding)
+        self._send(name, keeper.outstanding)
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -7,6 +7,7 @@
 from arbutuschute.zones import rendezvous
 
 DEAD_AFTER_SUSPICIONS = 2.0
+UNKNOWN_AFTER_SUSPICIONS = 5.0
 RELAYS_PER_ZONE = 2
 
 
@@ -148,7 +149,7 @@
             member.incarnation = 0
 
     def rank_keepers(self, now):
-        """Return live (name, incarnation) pairs as they keep our bills.
+        """Return peers' names in the order in which they keep our bills.
 
         Peers in other zones of the own region come first: they survive the
         loss of our zone and answer without a crossing of the region link.
@@ -159,14 +160,37 @@
                 return 2
             return 1 if member.zone == self.zone else 0
 
-        live = {
-            member.name: member
-            for member in self.find_live(now)
+        usable = {member.name: member for member in self._find_usable(now)}
+        ranked = rendezvous.rank(self.me, usable)
+        ranked.sort(key=lambda name: distance(usable[name]))
+        return ranked
+
+    def _find_usable(self, now):
+        """Return the members to turn to.
+
+        Who is not a neighbour and has long been silent has no reason to
+        speak to us: it is taken to be there as long as the list has it, and
+        whoever asks it in vain goes on to the next.
+        """
+        neighbours = {member.name for member in self.find_neighbours()}
+        unknown_s = self.suspect_s * UNKNOWN_AFTER_SUSPICIONS
+        return [
+            member
+            for member in self.members.values()
             if member.state == 'live'
-        }
-        ranked = rendezvous.rank(self.me, live)
-        ranked.sort(key=lambda name: distance(live[name]))
-        return [(name, live[name].incarnation) for name in ranked]
+            and (
+                self.judge(member, now) is Liveness.LIVE
+                or (
+                    member.name not in neighbours
+                    and now - member.heard_at > unknown_s
+                )
+            )
+        ]
+
+    def find_incarnation(self, name):
+        """Return the incarnation last heard of a member, 0 if none."""
+        member = self.members.get(name)
+        return member.incarnation if member else 0
 
     def find_relays(self):
         """Return the names of each zone's relays, by zone.
@@ -208,19 +232,6 @@
         return [self.members[name] for name in sorted(wanted)]
 
     def rank_owners(self, key, now):
-        """Return routers, us included, by rank for ``key``.
-
-        Who is not a neighbour is taken to be there: the list has it, and
-        whoever asks it in vain goes on to the next.
-        """
-        neighbours = {member.name for member in self.find_neighbours()}
-        names = [
-            name
-            for name, member in self.members.items()
-            if member.state == 'live'
-            and (
-                name not in neighbours
-                or self.judge(member, now) is Liveness.LIVE
-            )
-        ]
+        """Return routers, us included, by rank for ``key``."""
+        names = [member.name for member in self._find_usable(now)]
         return rendezvous.rank(key, [*names, self.me])
--- a/tests/scenarios/billing.feature
+++ b/tests/scenarios/billing.feature
@@ -29,6 +29,25 @@
     And "r2" is killed
     Then each of the 1 requests has exactly one bill
 
+  Scenario: the zone of an owner is lost
+    Given routers "r4 in mtl-a, r5 in mtl-a"
+    When a caller starts a stream of 400 tokens at "r1"
+    And a caller starts a stream of 400 tokens at "r4"
+    And a caller starts a stream of 400 tokens at "r5"
+    And "r1" is killed
+    And "r4" is killed
+    And "r5" is killed
+    Then each of the 3 requests has exactly one bill
+
+  Scenario: the keepers of an owner are replaced one after another
+    When a caller starts a stream of 1200 tokens at "r1"
+    And "r2" is killed
+    And router "r2" starts in "sherbrooke-a"
+    And "r3" is killed
+    And router "r3" starts in "rimouski-a"
+    And "r1" is killed
+    Then each of the 1 requests has exactly one bill
+
   Scenario: a cheap model is tried first and its reply to the log is lost
     Given an engine "e2" with versions "petit:1"
     And a profile "reports" with a cascade from "petit:1" to "rapport:1"
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,139 @@
+"""The owner's side of bills, with small fakes of keepers and the log."""
+
+import asyncio
+
+import pytest
+
+from arbutuschute import errors
+from arbutuschute.ledgers import bills
+from arbutuschute.ledgers import keeping
+from arbutuschute import timer
+
+
+class FakeCommit:
+    """Takes entries of the log; commits them when told to."""
+
+    def __init__(self):
+        self.put_futures = []
+
+    def put(self, entry, urgent=False):
+        future = asyncio.get_running_loop().create_future()
+        self.put_futures.append(future)
+        return future
+
+
+class FakeMetrics:
+    def count(self, name, amount=1):
+        pass
+
+
+class Bench:
+    """One owner with keepers that answer or stay silent."""
+
+    def __init__(self, keepers, limit=100):
+        self.ranked = list(keepers)
+        self.silent = set()
+        self.sent = []
+        self.incarnations = dict.fromkeys(keepers, 1)
+        self.clock = timer.VirtualTimer()
+        self.commit = FakeCommit()
+        self.owner = keeping.Keeping(
+            ('owner', 1), self.send, lambda: self.ranked, self.commit,
+            self.clock, FakeMetrics(), 2, limit,
+        )  # fmt: skip
+
+    def send(self, name, message):
+        self.sent.append((name, message))
+        if name not in self.silent:
+            asyncio.get_running_loop().call_soon(
+                self.owner.accept_ack, name, self.incarnations[name],
+                message.seq,
+            )  # fmt: skip
+        return True
+
+    def find_held(self, name):
+        """Return the states of the bills that a keeper was sent."""
+        held = {}
+        for receiver, message in self.sent:
+            if receiver == name:
+                for raw in message.entries:
+                    bill = bills.unpack(raw)
+                    held[bill.id] = bill.state
+                for bill_id in message.settled:
+                    held.pop(bill_id, None)
+        return held
+
+
+def make_bill(number=1):
+    return bills.Bill(f'b{number}', 'o', 'p', 'm', '1', 'owner/1')
+
+
+async def test_first_bill_goes_to_keepers_before_any_tick():
+    """Else it stands opened in the log and nobody settles it."""
+    bench = Bench(['a', 'b', 'c'])
+    await bench.owner.open(make_bill())
+    assert bench.find_held('a') == {'b1': bills.State.OPENED}
+    assert bench.find_held('b') == {'b1': bills.State.OPENED}
+    assert bench.commit.put_futures == []
+
+
+async def test_a_silent_keeper_is_passed_over_and_then_tried_again():
+    bench = Bench(['a', 'b', 'c'])
+    bench.silent = {'a'}
+    opening = asyncio.ensure_future(bench.owner.open(make_bill()))
+    await asyncio.sleep(0.01)
+    assert not opening.done()
+    bench.clock.advance(keeping.ACK_TIMEOUT_S + 0.01)
+    bench.owner.check()
+    await asyncio.wait_for(opening, 5)
+    assert bench.find_held('c') == {'b1': bills.State.OPENED}
+    bench.silent = set()
+    bench.clock.advance(keeping.PAUSE_KEEPER_S)
+    bench.owner.check()
+    await asyncio.sleep(0.01)
+    bench.owner.check()
+    await bench.owner.open(make_bill(2))
+    assert 'b2' in bench.find_held('a')
+
+
+async def test_without_keepers_and_log_new_work_is_refused():
+    bench = Bench([])
+    opening = asyncio.ensure_future(bench.owner.open(make_bill()))
+    await asyncio.sleep(0.01)
+    bench.clock.advance(keeping.PATIENCE_S + 0.01)
+    bench.owner.check()
+    with pytest.raises(errors.StoreDown) as caught:
+        await opening
+    assert caught.value.ran is errors.Ran.NO
+    assert bench.owner.unsettled == 0
+
+
+async def test_unsettled_bills_are_bounded():
+    bench = Bench(['a', 'b'], limit=2)
+    await bench.owner.open(make_bill(1))
+    await bench.owner.open(make_bill(2))
+    with pytest.raises(errors.StoreDown):
+        await bench.owner.open(make_bill(3))
+
+
+async def test_a_restarted_keeper_gets_all_that_is_unsettled_again():
+    bench = Bench(['a', 'b'])
+    await bench.owner.open(make_bill())
+    bench.sent.clear()
+    bench.incarnations['a'] = 2
+    bench.owner.note_incarnation('a', 2)
+    bench.owner.refresh()
+    assert bench.find_held('a') == {'b1': bills.State.OPENED}
+
+
+async def test_keepers_forget_a_bill_once_the_log_has_it():
+    bench = Bench(['a', 'b'])
+    bill = make_bill()
+    await bench.owner.open(bill)
+    await bench.owner.close(bills.close(bill, 'answered', 1, 2, 0.1))
+    assert bench.find_held('a') == {'b1': bills.State.CLOSED}
+    bench.commit.put_futures[-1].set_result(7)
+    await asyncio.sleep(0.01)
+    bench.owner.refresh()
+    assert bench.find_held('a') == {}
+    assert bench.owner.unsettled == 0
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -130,8 +130,15 @@
         members.members[name] = membership.Member(
             name, zone, region, 1, heard_at=0.0
         )
-    ranked = [name for name, _ in members.rank_keepers(1.0)]
-    assert ranked == ['near', 'mate', 'far']
+    assert members.rank_keepers(1.0) == ['near', 'mate', 'far']
+
+
+def test_keepers_stand_in_other_zones_also_where_those_are_no_neighbours():
+    fleet = make_fleet(zones=14, per_zone=4)
+    for name, made in fleet.items():
+        keepers = made.rank_keepers(0.0)[:2]
+        zones = {made.members[keeper].zone for keeper in keepers}
+        assert made.zone not in zones, name
 
 
 def make_fleet(zones, per_zone):
