--- a/arbutuschute/contracts/fold.py
+++ b/arbutuschute/contracts/fold.py
@@ -52,12 +52,14 @@
 class Configuration(msgspec.Struct):
     """The whole agreed state; ``offset`` is the last record folded in.
 
-    ``withdrawn`` maps ``model:version`` to the revision of its withdrawal;
+    ``withdrawn`` maps ``model:version`` to the revision of its withdrawal,
+    ``snapshot_time`` is the log's time of the newest snapshot;
     ``rollouts`` is keyed by ``profile/model:new``.
     """
 
     offset: int = -1
     time: float = 0.0
+    snapshot_time: float = 0.0
     profiles: dict[str, PublishedProfile] = {}
     organisations: dict[str, PublishedOrganisation] = {}
     withdrawn: dict[str, int] = {}
@@ -107,7 +109,10 @@
 
 
 def _apply_change(state, change):
-    if isinstance(change, changes.Snapshot) or change.id in state.outcomes:
+    if isinstance(change, changes.Snapshot):
+        state.snapshot_time = state.time
+        return
+    if change.id in state.outcomes:
         return
     failure = _APPLY[type(change)](state, change)
     _record_outcome(state, change.id, failure.code if failure else '')
--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -5,21 +5,18 @@
 from arbutuschute import agreement
 from arbutuschute.contracts import fold
 from arbutuschute.ledgers import bills
-from arbutuschute.machines import fleet
-from arbutuschute.machines import instances
+from arbutuschute import listing
 from arbutuschute import messages
+from arbutuschute import polls
 from arbutuschute import rollouts
 from arbutuschute import streams
-from arbutuschute.zones import rendezvous
 
-LOAD_PERIOD_S = 0.5
 PUMP_PERIOD_S = 0.1
 PACE_PERIOD_S = 0.25
 MANY_NEIGHBOURS = 32
-LIST_ENTRY_BYTES = 200
-LIST_BYTES_PER_S = 8_000
 PIN_MESSAGES = (messages.AskPin, messages.TellPin, messages.CopyPin)
 SNAPSHOT_SHARE_OF_RETENTION = 0.25
+SNAPSHOT_RETRY_S = 30.0
 
 
 class Control:
@@ -31,21 +28,23 @@
         '_environment',
         '_history',
         '_ordering',
-        '_polling',
+        '_polls',
         '_rollouts',
-        '_snapshot_at',
+        '_snapshot_tried_at',
         '_tasks',
+        'listing',
     )
 
     def __init__(self, environment, history):
         self._environment = environment
         self._history = history
         self._confirmed = None
-        self._polling = set()
+        self._polls = polls.LoadPolls(environment, self._spawn)
+        self.listing = listing.Listing(environment, self._spawn)
         self._ordering = False
         self._beats = 0
         self._rollouts = rollouts.RolloutControl(environment)
-        self._snapshot_at = 0.0
+        self._snapshot_tried_at = float('-inf')
         self._tasks = set()
 
     def subscribe(self):
@@ -55,14 +54,14 @@
         timer = environment.timer
         for period_s, act in (
             (control.heartbeat_s, self._beat),
-            (LOAD_PERIOD_S, self._poll_loads),
+            (polls.PERIOD_S, self._polls.tick),
             (control.heartbeat_s, self._flush_metrics),
             (PUMP_PERIOD_S, self._pump),
             (PACE_PERIOD_S, environment.paces.update),
         ):
             timer.every(period_s).subscribe(self._protect(act))
         environment.peers.received.subscribe(self._protect(self.accept))
-        self._schedule_list()
+        self.listing.schedule()
 
     def _protect(self, act):
         """Return ``act`` so that a fault is logged and does not end it."""
@@ -71,10 +70,7 @@
             try:
                 act(value)
             except Exception as error:
-                self._environment.metrics.count('control.faults')
-                self._environment.log.opt(exception=error).error(
-                    'control fault'
-                )
+                self._note_fault(error)
 
         return run
 
@@ -88,80 +84,16 @@
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_task)
 
-    def _schedule_list(self):
-        """Read the list again later: the longer it is, the later.
+    def _end_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._note_fault(task.exception())
 
-        Zone mates read it at other moments and tell what has changed.
-        """
-        environment = self._environment
-        size = LIST_ENTRY_BYTES * len(environment.fleet.instances)
-        period_s = max(
-            environment.settings.control.instances_s, size / LIST_BYTES_PER_S
-        )
-        delay_s = period_s * environment.random.uniform(0.75, 1.25)
-        environment.timer.call_after(delay_s, self._list_again)
-
-    def _list_again(self):
-        self._spawn(self.list_instances())
-        self._schedule_list()
-
-    async def list_instances(self):
-        """Take over the platform's instance list, if it answers."""
-        environment = self._environment
-        answer = await instances.fetch_instances(
-            environment.http,
-            environment.settings.platform.instances,
-            environment.name,
-        )
-        listed = answer.value_or(None)
-        if listed is None:
-            environment.metrics.count('instances.failed')
-            return
-        known = environment.fleet.instances
-        self._tell_changes(known, {entry.name: entry for entry in listed})
-        self._take_over_list(listed)
-
-    def _tell_changes(self, known, listed):
-        """Tell zone mates what differs from the list as we knew it."""
-        environment = self._environment
-        changed = [e for e in listed.values() if known.get(e.name) != e]
-        gone = known.keys() - listed.keys()
-        if not known or not (changed or gone):
-            return
-        sender, incarnation = environment.identity
-        message = messages.InstancesChanged(
-            sender=sender,
-            incarnation=incarnation,
-            changed=tuple(map(instances.encode, changed)),
-            gone=tuple(sorted(gone)),
-        )
-        for member in environment.membership.find_neighbours():
-            if member.zone == environment.settings.zone:
-                environment.peers.send(member.name, message)
-
-    def _accept_changes(self, message):
-        merged = dict(self._environment.fleet.instances)
-        for raw in message.changed:
-            entry = instances.decode(raw)
-            if entry is not None:
-                merged[entry.name] = entry
-        for name in message.gone:
-            merged.pop(name, None)
-        self._take_over_list(list(merged.values()))
-
-    def _take_over_list(self, listed):
-        environment = self._environment
-        environment.fleet.list_instances(listed)
-        routers = environment.fleet.find_routers()
-        others = environment.membership.list_routers(routers)
-        environment.membership.forget_gone(others, environment.timer.now())
-        neighbours = environment.membership.find_neighbours()
-        environment.peers.connect(
-            {name: entry.peer_address for name, entry in others.items()},
-            {member.name for member in neighbours},
-        )
+    def _note_fault(self, error):
+        self._environment.metrics.count('control.faults')
+        self._environment.log.opt(exception=error).error('control fault')
 
     def accept(self, message):
         """Take in one message of a peer."""
@@ -179,7 +111,7 @@
                 (message.sender, message.incarnation), message.evidence
             )
         elif isinstance(message, messages.InstancesChanged):
-            self._accept_changes(message)
+            self.listing.accept(message)
         elif isinstance(message, messages.TellHalt):
             environment.halts.add((message.rollout, message.revision))
         elif isinstance(message, PIN_MESSAGES):
@@ -246,7 +178,7 @@
         if confirmed:
             lease_s = environment.settings.control.lease_s
             age_s = lease_s - (environment.confirmed_until - now)
-        polled = environment.fleet.make_reports(self._find_own_polls(now), now)
+        polled = self._polls.make_reports(now)
         self._beats += 1
         for member in self._choose_listeners():
             mate = member.zone == environment.settings.zone
@@ -330,17 +262,20 @@
     def _snapshot_if_due(self, now):
         """Write a snapshot when it is our turn and the last one is old."""
         environment = self._environment
-        control = environment.settings.control
-        period_s = control.log_retention_s * SNAPSHOT_SHARE_OF_RETENTION
-        if now - self._snapshot_at < period_s:
-            return
-        key = f'snapshot/{environment.configuration.offset}'
-        if environment.membership.rank_owners(key, now)[0] != environment.name:
+        configuration = environment.configuration
+        period_s = (
+            environment.settings.control.log_retention_s
+            * SNAPSHOT_SHARE_OF_RETENTION
+        )
+        age_s = environment.timer.wall() - configuration.snapshot_time
+        if configuration.offset < 0 or age_s < period_s:
             return
-        if environment.configuration.offset < 0:
+        if now - self._snapshot_tried_at < SNAPSHOT_RETRY_S:
             return
-        self._snapshot_at = now
-        self._spawn(self.write_snapshot())
+        first = environment.membership.rank_owners('snapshot', now)[0]
+        if first == environment.name:
+            self._snapshot_tried_at = now
+            self._spawn(self.write_snapshot())
 
     async def write_snapshot(self):
         """Append the state; two writers do no harm."""
@@ -354,43 +289,5 @@
         )
         if answer.value_or(None) is None:
             environment.metrics.count('snapshots.failed')
-            self._snapshot_at = 0.0
         else:
             environment.metrics.count('snapshots')
-
-    def _find_own_polls(self, now):
-        """Return the engines whose load this instance asks for its zone."""
-        environment = self._environment
-        names = [
-            member.name
-            for member in environment.membership.find_live(now)
-            if member.zone == environment.settings.zone
-        ]
-        names.append(environment.name)
-        return [
-            server.name
-            for server in environment.fleet.servers.values()
-            if server.instance.kind == 'engine'
-            and server.instance.region == environment.settings.region
-            and rendezvous.rank(server.name, names)[0] == environment.name
-        ]
-
-    def _poll_loads(self, now):
-        for name in self._find_own_polls(now):
-            if name not in self._polling:
-                self._spawn(self._poll_load(name))
-
-    async def _poll_load(self, name):
-        environment = self._environment
-        self._polling.add(name)
-        try:
-            server = environment.fleet.servers.get(name)
-            report = server and await fleet.fetch_load(
-                environment.http, server
-            )
-            if report is not None:
-                environment.fleet.accept_report(
-                    report, environment.timer.now()
-                )
-        finally:
-            self._polling.discard(name)
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -211,7 +211,7 @@
         made.claims_tail.records.subscribe(self._apply_claims)
         made.leases_tail.records.subscribe(self._apply_leases)
         self._start_task(made.peers.run())
-        await self._control.list_instances()
+        await self._control.listing.read()
         self._control.subscribe()
         await self._serve(
             operators.OperatorsLink(made).make_app(),
--- /dev/null
+++ b/arbutuschute/polls.py
@@ -0,0 +1,59 @@
+"""Load reports: each engine asked by one router of a zone, told to mates."""
+
+from arbutuschute.machines import fleet
+from arbutuschute.zones import rendezvous
+
+PERIOD_S = 0.5
+
+
+class LoadPolls:
+    """Asks the engines that fall to this instance for their load."""
+
+    __slots__ = ('_asking', '_environment', '_spawn')
+
+    def __init__(self, environment, spawn):
+        self._environment = environment
+        self._spawn = spawn
+        self._asking = set()
+
+    def make_reports(self, now):
+        """Return the reports of the engines that this instance asks."""
+        return self._environment.fleet.make_reports(self._find_own(now), now)
+
+    def _find_own(self, now):
+        """Return the engines whose load this instance asks for its zone."""
+        environment = self._environment
+        names = [
+            member.name
+            for member in environment.membership.find_live(now)
+            if member.zone == environment.settings.zone
+        ]
+        names.append(environment.name)
+        return [
+            server.name
+            for server in environment.fleet.servers.values()
+            if server.instance.kind == 'engine'
+            and server.instance.region == environment.settings.region
+            and rendezvous.rank(server.name, names)[0] == environment.name
+        ]
+
+    def tick(self, now):
+        """Ask each engine again that has answered."""
+        for name in self._find_own(now):
+            if name not in self._asking:
+                self._spawn(self._ask(name))
+
+    async def _ask(self, name):
+        environment = self._environment
+        self._asking.add(name)
+        try:
+            server = environment.fleet.servers.get(name)
+            report = server and await fleet.fetch_load(
+                environment.http, server
+            )
+            if report is not None:
+                environment.fleet.accept_report(
+                    report, environment.timer.now()
+                )
+        finally:
+            self._asking.discard(name)
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -38,6 +38,15 @@
     Then all answers have status 200
     And every instance has the same configuration
 
+  Scenario: an instance writes a snapshot before the log drops the beginning
+    Given routers "r1 in mtl-a"
+    When an instance has written a snapshot
+    And the log keeps only 1 records
+    And router "r2" starts in "sherbrooke-a"
+    And callers send 2 requests at "r2"
+    Then all answers have status 200
+    And every instance has the same configuration
+
   Scenario: a publication whose reply is lost takes effect once
     Given routers "r1 in mtl-a, r2 in sherbrooke-a"
     And the next 2 replies of the log for "configuration" are lost
--- a/tests/scenarios/when_steps.py
+++ b/tests/scenarios/when_steps.py
@@ -307,18 +307,29 @@
     world.run(append())
 
 
-@when('the late append has arrived')
-def wait_for_late_append(world):
-    async def arrived():
+def wait_for_record(world, part):
+    """Wait until the configuration stream holds some bytes."""
+
+    async def holds():
         async with world.deployed.session.get(
             world.deployed.platform + '/log/configuration?from=0'
         ) as response:
-            return b'held-up' in await response.read()
+            return part in await response.read()
 
-    world.run(deployment.wait_for(arrived, 'the late append'))
+    world.run(deployment.wait_for(holds, f'{part} in the log'))
     world.run(asyncio.sleep(0.5))
 
 
+@when('the late append has arrived')
+def wait_for_late_append(world):
+    wait_for_record(world, b'held-up')
+
+
+@when('an instance has written a snapshot')
+def wait_for_snapshot(world):
+    wait_for_record(world, b'"snapshot"')
+
+
 @when(parsers.parse('router "{name}" starts in "{zone}"'))
 def start_router(world, name, zone):
     world.run(world.deployed.start_router(name, zone, wait=False))
