--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -226,6 +226,11 @@
             made.bill_commit.run(),
         ):
             self._start_task(coroutine)
+        # A door that opens before the lease runs would only refuse.
+        await self._wait_until(
+            lambda: agreement.is_confirmed(made),
+            made.settings.control.lease_s,
+        )
         made.state = 'live'
         await self._serve(
             caller.CallerLink(made).make_app(), made.settings.listen
