--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,6 +1,7 @@
 """A deployment of separate processes on this machine, for tests."""
 
 import asyncio
+import atexit
 import contextlib
 import hashlib
 import json
@@ -44,6 +45,8 @@
             stderr=self.stderr,
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
         )
+        # None outlives the tests, whatever ends them.
+        atexit.register(self.popen.kill)
 
     def send(self, number):
         self.popen.send_signal(number)
