Settle the bills of owners that died before their first heartbeat

A keeper judged owners by their heartbeats alone, and one killed between its first bill and its next heartbeat was never dead to a keeper that is no neighbour. And peers late with heartbeats were no keepers, so a bill was opened in the log only, where nobody settles it.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -17,6 +17,7 @@
 PIN_MESSAGES = (messages.AskPin, messages.TellPin, messages.CopyPin)
 SNAPSHOT_SHARE_OF_RETENTION = 0.25
 SNAPSHOT_RETRY_S = 30.0
+DEAD_SUSPICIONS = 3.0
 
 
 class Control:
@@ -132,6 +133,7 @@
         environment = self._environment
         now = environment.timer.now()
         environment.membership.hear(heartbeat, now)
+        environment.kept.hear((heartbeat.sender, heartbeat.incarnation), now)
         environment.keeping.note_incarnation(
             heartbeat.sender, heartbeat.incarnation
         )
@@ -162,7 +164,9 @@
     def _keep_bills(self, message):
         environment = self._environment
         owner = message.sender, message.incarnation
-        environment.kept.keep(owner, message.entries, message.settled)
+        environment.kept.keep(
+            owner, message.entries, message.settled, environment.timer.now()
+        )
         sender, incarnation = environment.identity
         environment.peers.send(
             message.sender,
@@ -248,7 +252,9 @@
     def _settle_dead(self, now):
         """Commit the bills of owners that will not settle them."""
         environment = self._environment
-        for owner in environment.membership.take_dead(now):
+        limit_s = environment.settings.control.suspect_s * DEAD_SUSPICIONS
+        silent = environment.kept.find_silent(now, limit_s)
+        for owner in {*environment.membership.take_dead(now), *silent}:
             taken = environment.kept.take(owner)
             if not taken:
                 continue
--- a/arbutuschute/ledgers/bills.py
+++ b/arbutuschute/ledgers/bills.py
@@ -97,10 +97,11 @@
 class Kept:
     """Other owners' entries that this instance keeps in memory."""
 
-    __slots__ = ('_by_owner',)
+    __slots__ = ('_by_owner', '_heard_at')
 
     def __init__(self):
         self._by_owner = {}
+        self._heard_at = {}
 
     def __len__(self):
         return sum(len(held) for held in self._by_owner.values())
@@ -110,8 +111,26 @@
         """The names of the owners whose entries are kept here."""
         return {name for name, _ in self._by_owner}
 
-    def keep(self, owner, packed_bills, settled):
-        """Take in entries of an owner and forget the settled ones."""
+    def hear(self, owner, now):
+        """Note a sign of life of an owner whose entries are kept."""
+        if owner in self._by_owner:
+            self._heard_at[owner] = now
+
+    def find_silent(self, now, limit_s):
+        """Return the owners that gave no sign of life for ``limit_s``."""
+        return [
+            owner
+            for owner, heard_at in self._heard_at.items()
+            if now - heard_at > limit_s
+        ]
+
+    def keep(self, owner, packed_bills, settled, now):
+        """Take in entries of an owner and forget the settled ones.
+
+        The message is a sign of life itself: an owner may die before its
+        first heartbeat to us.
+        """
+        self._heard_at[owner] = now
         held = self._by_owner.setdefault(owner, {})
         for raw in packed_bills:
             bill = unpack(raw)
@@ -124,10 +143,12 @@
             held.pop(bill_id, None)
         if not held:
             del self._by_owner[owner]
+            del self._heard_at[owner]
 
     def take(self, owner):
         """Remove and return a dead owner's entries, open ones interrupted."""
         held = self._by_owner.pop(owner, {})
+        self._heard_at.pop(owner, None)
         return [
             interrupt(bill) if bill.state is State.OPENED else bill
             for bill in held.values()
--- a/arbutuschute/ledgers/keeping.py
+++ b/arbutuschute/ledgers/keeping.py
@@ -16,10 +16,12 @@
 class _Securing:
     """One bill on its way to its keepers, the log or both."""
 
-    __slots__ = ('acks', 'done', 'needed', 'since')
+    __slots__ = ('acks', 'bill', 'done', 'in_log', 'needed', 'since')
 
-    def __init__(self, needed, since):
+    def __init__(self, bill, needed, since):
         self.acks = 0
+        self.bill = bill
+        self.in_log = False
         self.needed = needed
         self.since = since
         self.done = asyncio.get_running_loop().create_future()
@@ -35,6 +37,14 @@
         if not self.done.done():
             self.done.set_result(secured)
 
+    def needs_log(self, now):
+        """Tell whether no keeper has answered for a while."""
+        return (
+            not self.acks
+            and not self.in_log
+            and now - self.since > ACK_TIMEOUT_S
+        )
+
     def check(self, now):
         """Go on with one ack after a while, without any after patience."""
         waited_s = now - self.since
@@ -124,10 +134,10 @@
         if not self._chosen:
             self._choose_keepers(self._timer.now())
         self._unsettled[bill.id] = bill
-        securing = self._start(max(1, len(self._chosen)))
+        securing = self._start(bill, max(1, len(self._chosen)))
         self._hand_to_keepers(bill, securing)
         if not self._chosen:
-            self._commit_bill(bill, True).add_done_callback(securing.ack)
+            self._log(securing)
         if not await securing.done:
             self.withdraw(bill)
             raise errors.StoreDown('bills')
@@ -142,7 +152,8 @@
         The entry stays queued for the log in any case.
         """
         self._unsettled[bill.id] = bill
-        securing = self._start(1)
+        securing = self._start(bill, 1)
+        securing.in_log = True
         self._hand_to_keepers(bill, securing)
         committed = self._commit_bill(bill, not self._chosen)
         committed.add_done_callback(functools.partial(self._settle, bill.id))
@@ -150,8 +161,15 @@
         if not await securing.done:
             self._metrics.count('bills.unsecured')
 
-    def _start(self, needed):
-        securing = _Securing(needed, self._timer.now())
+    def _log(self, securing):
+        """Let the log stand in for keepers that there are not."""
+        securing.in_log = True
+        securing.needed = 1
+        committed = self._commit_bill(securing.bill, True)
+        committed.add_done_callback(securing.ack)
+
+    def _start(self, bill, needed):
+        securing = _Securing(bill, needed, self._timer.now())
         self._securing.add(securing)
         securing.done.add_done_callback(
             lambda _: self._securing.discard(securing)
@@ -195,6 +213,8 @@
         """Let no request wait for ever on a keeper that is silent."""
         now = self._timer.now()
         for securing in list(self._securing):
+            if securing.needs_log(now):
+                self._log(securing)
             securing.check(now)
         for name, keeper in self._keepers.items():
             if keeper.outstanding and now - keeper.sent_at > ACK_TIMEOUT_S:
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -153,6 +153,8 @@
 
         Peers in other zones of the own region come first: they survive the
         loss of our zone and answer without a crossing of the region link.
+        Who has not been heard lately comes last: a slow peer is a better
+        keeper than none, and its acknowledgement decides.
         """
 
         def distance(member):
@@ -160,9 +162,16 @@
                 return 2
             return 1 if member.zone == self.zone else 0
 
-        usable = {member.name: member for member in self._find_usable(now)}
-        ranked = rendezvous.rank(self.me, usable)
-        ranked.sort(key=lambda name: distance(usable[name]))
+        usable = {member.name for member in self._find_usable(now)}
+        staying = {
+            member.name: member
+            for member in self.members.values()
+            if member.state == 'live'
+        }
+        ranked = rendezvous.rank(self.me, staying)
+        ranked.sort(
+            key=lambda name: (name not in usable, distance(staying[name]))
+        )
         return ranked
 
     def _find_usable(self, now):
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -236,7 +236,7 @@
             f'organisation/r1-1796363231555-{number}', 'organisation',
             'profile', 'model', 'version', 'r1/1796363231555',
         )  # fmt: skip
-        kept.keep(('r1', 1), (bills.pack(bill),), ())
+        kept.keep(('r1', 1), (bills.pack(bill),), (), 0.0)
 
     held_pins = pins.Pins(
         ('r1', 1), lambda *_: True, lambda _: ['r1'], lambda *_: True
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -108,6 +108,19 @@
     assert bench.owner.unsettled == 0
 
 
+async def test_the_log_stands_in_for_keepers_that_do_not_answer():
+    bench = Bench(['a', 'b'])
+    bench.silent = {'a', 'b'}
+    opening = asyncio.ensure_future(bench.owner.open(make_bill()))
+    await asyncio.sleep(0.01)
+    assert bench.commit.put_futures == []
+    bench.clock.advance(keeping.ACK_TIMEOUT_S + 0.01)
+    bench.owner.check()
+    (committed,) = bench.commit.put_futures
+    committed.set_result(3)
+    await asyncio.wait_for(opening, 5)
+
+
 async def test_unsettled_bills_are_bounded():
     bench = Bench(['a', 'b'], limit=2)
     await bench.owner.open(make_bill(1))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -133,6 +133,16 @@
     assert members.rank_keepers(1.0) == ['near', 'mate', 'far']
 
 
+def test_a_peer_not_heard_lately_is_a_keeper_of_last_resort():
+    members = make_membership()
+    for name, zone, heard_at in (('slow', 'x', 0.0), ('mate', 'z', 9.0)):
+        members.members[name] = membership.Member(
+            name, zone, STORE, 1, heard_at=heard_at
+        )
+    assert members.rank_keepers(10.0) == ['mate', 'slow']
+    assert members.rank_keepers(16.0) == ['slow', 'mate']
+
+
 def test_keepers_stand_in_other_zones_also_where_those_are_no_neighbours():
     fleet = make_fleet(zones=14, per_zone=4)
     for name, made in fleet.items():
