Compute confidence bounds and the limit of silence in one place

Cause: read again, Wilson's interval stood in the guard and in the cascade, the time after which a silent router is dead in membership and in control, and a line of the gate kept a backlog that nobody read. Excluded: the shapes that duplicates lists besides (constructors, constants). Change: policy/bounds.py, Membership.dead_s, the backlog removed. Conclusion: behaviour as before.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -17,7 +17,6 @@
 PIN_MESSAGES = (messages.AskPin, messages.TellPin, messages.CopyPin)
 SNAPSHOT_SHARE_OF_RETENTION = 0.25
 SNAPSHOT_RETRY_S = 30.0
-DEAD_SUSPICIONS = 3.0
 
 
 class Control:
@@ -252,8 +251,9 @@
     def _settle_dead(self, now):
         """Commit the bills of owners that will not settle them."""
         environment = self._environment
-        limit_s = environment.settings.control.suspect_s * DEAD_SUSPICIONS
-        silent = environment.kept.find_silent(now, limit_s)
+        silent = environment.kept.find_silent(
+            now, environment.membership.dead_s
+        )
         for owner in {*environment.membership.take_dead(now), *silent}:
             taken = environment.kept.take(owner)
             if not taken:
--- a/arbutuschute/policy/admission.py
+++ b/arbutuschute/policy/admission.py
@@ -50,11 +50,10 @@
 class _Line:
     """One organisation's waiting work and its place in fair time."""
 
-    __slots__ = ('backlog_s', 'heap', 'start', 'weight')
+    __slots__ = ('heap', 'start', 'weight')
 
     def __init__(self):
         self.heap = []
-        self.backlog_s = 0.0
         self.start = 0.0
         self.weight = 1.0
 
@@ -99,7 +98,6 @@
             line.start = max(self._clock, line.start)
         ticket.number = next(self._numbers)
         heapq.heappush(line.heap, (ticket.priority, ticket.number, ticket))
-        line.backlog_s += ticket.cost_s
         self.waiting += 1
 
     def foresee_wait(self, line, ticket, slots):
@@ -129,7 +127,6 @@
                 return None, expired
             ticket = heapq.heappop(line.heap)[2]
             self.waiting -= 1
-            line.backlog_s -= ticket.cost_s
             if now + ticket.cost_s > ticket.deadline_at:
                 expired.append(ticket)
                 continue
@@ -158,7 +155,6 @@
             return False
         line.heap.remove(entry)
         heapq.heapify(line.heap)
-        line.backlog_s -= ticket.cost_s
         self.waiting -= 1
         return True
 
--- a/arbutuschute/policy/cascade.py
+++ b/arbutuschute/policy/cascade.py
@@ -6,10 +6,10 @@
 confidence bound, reaches the profile's target.
 """
 
-import math
-
 import msgspec
 
+from arbutuschute.policy import bounds
+
 BINS = 20
 CONFIDENCE_DEVIATIONS = 1.0
 LEARNING_TRIALS = 300
@@ -43,12 +43,7 @@
     """Return a lower confidence bound of a success rate (Wilson)."""
     if not trials:
         return 0.0
-    z = CONFIDENCE_DEVIATIONS
-    rate = good / trials
-    spread = z * math.sqrt(
-        rate * (1 - rate) / trials + z * z / (4 * trials * trials)
-    )
-    return (rate + z * z / (2 * trials) - spread) / (1 + z * z / trials)
+    return bounds.find_bounds(good, trials, CONFIDENCE_DEVIATIONS)[0]
 
 
 class Learner:
--- a/arbutuschute/policy/guard.py
+++ b/arbutuschute/policy/guard.py
@@ -11,6 +11,7 @@
 import math
 
 from arbutuschute import messages
+from arbutuschute.policy import bounds
 
 SIGNALS = ('error', 'slow', 'bad')
 FALSE_HALTS_PER_SIGNAL = 0.003
@@ -46,12 +47,7 @@
     """Return an upper confidence bound of a failure rate (Wilson)."""
     if not trials:
         return 1.0
-    z = CONFIDENCE_DEVIATIONS
-    rate = failures / trials
-    spread = z * math.sqrt(
-        rate * (1 - rate) / trials + z * z / (4 * trials * trials)
-    )
-    bound = (rate + z * z / (2 * trials) + spread) / (1 + z * z / trials)
+    _, bound = bounds.find_bounds(failures, trials, CONFIDENCE_DEVIATIONS)
     return min(max(bound, RATE_FLOOR), RATE_CEILING)
 
 
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -6,7 +6,7 @@
 
 from arbutuschute.zones import rendezvous
 
-DEAD_AFTER_SUSPICIONS = 2.0
+DEAD_AFTER_SUSPICIONS = 3.0
 UNKNOWN_AFTER_SUSPICIONS = 5.0
 RELAYS_PER_ZONE = 2
 
@@ -106,12 +106,17 @@
         member.stated_at = heartbeat.echo
         member.in_flight = heartbeat.in_flight
 
+    @property
+    def dead_s(self):
+        """Seconds of silence after which somebody will not come back."""
+        return self.suspect_s * DEAD_AFTER_SUSPICIONS
+
     def judge(self, member, now):
         """Return how sure we are that a member lives."""
         silent_s = now - member.heard_at
         if silent_s <= self.suspect_s:
             return Liveness.LIVE
-        if silent_s <= self.suspect_s * (1 + DEAD_AFTER_SUSPICIONS):
+        if silent_s <= self.dead_s:
             return Liveness.SUSPECT
         return Liveness.DEAD
 
