--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -14,6 +14,10 @@
 SLOW_TARGETS = 1.0
 
 
+class _Dropped(Exception):
+    """A small model is not sure of its answer; a larger one is asked."""
+
+
 class _Stream:
     """One answer to a caller, made by one server or by several in turn."""
 
@@ -37,6 +41,9 @@
         request.attempts += 1
         try:
             final = await _attempt(parts, request, server, stream)
+        except _Dropped:
+            tried.discard(server.name)
+            continue
         except errors.Failure as failure:
             sending.note_failure(parts, request, server, failure)
             if sending.may_repeat(parts, request, failure.ran):
@@ -82,6 +89,8 @@
         request.note_ran(errors.Ran.UNKNOWN)
         if not head.is_success:
             return await _read_failure(parts, server, attempt)
+        if not stream.is_started:
+            _drop_if_unsure(parts, request, server, head)
         await _relay(parts, request, server, stream, attempt, began)
     finally:
         await opened.__aexit__(None, None, None)
@@ -92,6 +101,31 @@
     return None
 
 
+def _drop_if_unsure(parts, request, server, head):
+    """Give up an answer of which the caller has nothing yet.
+
+    Raise ``_Dropped`` if a larger model is worth asking.
+    """
+    larger = parts.models.find_larger(request, head.confidence)
+    if larger is None:
+        return
+    if not sending.may_repeat(parts, request, errors.Ran.YES):
+        return
+    parts.log.debug(
+        'answer dropped',
+        request=request.id,
+        server=server.name,
+        model=request.model,
+        confidence=head.confidence,
+        next=larger,
+    )
+    parts.metrics.count('answers.dropped')
+    server.note_success()
+    parts.rollouts.note(server, 'error', False)
+    request.model = larger
+    raise _Dropped()
+
+
 async def _read_failure(parts, server, attempt):
     answer = await attempt.read_answer()
     if answer.head.is_failure:
