Wait on while no other attempt is allowed; close idle connections at a stop

Excluded: the length of the stop (8 s, held to). Change: patience ends only where the repeat is granted, and sooner where a server sends nothing on any connection; idle transports are closed.

--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -208,6 +208,10 @@
     'ServerFailed', 'server-failed', 'Backend server did not answer', 502,
     'server', 'reason',
 )  # fmt: skip
+ServerSilent = define(
+    'ServerSilent', 'server-silent', 'Backend server kept silent', 504,
+    'server', 'waited_s', 'dark_s',
+)  # fmt: skip
 StoreGap = define(
     'StoreGap', 'store-gap', 'Records of the store are gone', 503, 'topic'
 )
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -75,9 +75,10 @@
 class Ingress:
     """Takes requests from callers for one instance."""
 
-    __slots__ = ('_parts', '_server')
+    __slots__ = ('_active', '_parts', '_server')
 
     def __init__(self, parts):
+        self._active = set()
         self._parts = parts
         self._server = None
 
@@ -97,9 +98,21 @@
 
     def close_idle(self):
         """Close connections without a request, others after theirs."""
-        self._server.pre_shutdown()
+        for connection in self._server.connections:
+            connection.close()
+            idle = connection not in self._active
+            if idle and connection.transport is not None:
+                connection.transport.close()
 
     async def _handle(self, raw):
+        connection = raw.protocol
+        self._active.add(connection)
+        try:
+            return await self._answer(raw)
+        finally:
+            self._active.discard(connection)
+
+    async def _answer(self, raw):
         parts = self._parts
         parts.metrics.count('requests')
         closes = parts.stopping_at is not None
--- /dev/null
+++ b/arbutuschute/traffic/patience.py
@@ -0,0 +1,56 @@
+"""How long an attempt waits for a silent server before another is asked."""
+
+import asyncio
+
+from arbutuschute import errors
+from arbutuschute.traffic import sending
+
+CHECK_PERIOD_S = 0.2
+# A server that works sends something on one of our connections several times
+# in this time; one that sends nothing at all has gone dark.
+DARK_AFTER_S = 0.9
+
+
+async def wait_for(parts, request, server, make_wait, patience_s):
+    """Return what ``make_wait()`` brings from a server.
+
+    ``make_wait`` returns a coroutine that may be cancelled and made anew.
+    Raise ``ServerSilent`` if the server keeps silent for too long and the
+    request may be repeated; that repeat is then counted.
+    """
+    if not request.route.is_repeatable:
+        return await make_wait()
+    began = parts.now()
+    while True:
+        try:
+            async with asyncio.timeout(CHECK_PERIOD_S):
+                return await make_wait()
+        except TimeoutError:
+            _check_silence(parts, request, server, began, patience_s)
+
+
+async def wait_for_task(parts, request, server, wait, patience_s):
+    """Do the same for a coroutine that can't be made anew."""
+    if not request.route.is_repeatable:
+        return await wait
+    task = asyncio.ensure_future(wait)
+    began = parts.now()
+    try:
+        while True:
+            done, _ = await asyncio.wait({task}, timeout=CHECK_PERIOD_S)
+            if done:
+                return task.result()
+            _check_silence(parts, request, server, began, patience_s)
+    finally:
+        task.cancel()
+
+
+def _check_silence(parts, request, server, began, patience_s):
+    now = parts.now()
+    dark_s = now - max(server.heard_at, began)
+    if dark_s < DARK_AFTER_S and now - began < patience_s:
+        return
+    if sending.may_repeat(parts, request, errors.Ran.UNKNOWN):
+        raise errors.ServerSilent(
+            server.name, round(now - began, 2), round(dark_s, 2)
+        ).mark_ran(errors.Ran.UNKNOWN)
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -1,16 +1,15 @@
 """Requests whose answer is a stream: relayed, and resumed where it breaks."""
 
-import asyncio
-
 from arbutuschute import errors
 from arbutuschute.traffic import events
+from arbutuschute.traffic import patience
 from arbutuschute.traffic import sending
 
 # Silence before the first event, in times of the route's target, after
 # which a stream that may be resumed is asked of another server.
 FIRST_EVENT_TARGETS = 2.5
 # Silence between events, in times of the route's longest pause.
-GAP_TARGETS = 1.6
+GAP_TARGETS = 3.5
 SLOW_TARGETS = 1.0
 
 
@@ -46,7 +45,7 @@
             continue
         except errors.Failure as failure:
             sending.note_failure(parts, request, server, failure)
-            if sending.may_repeat(parts, request, failure.ran):
+            if sending.is_repeated(parts, request, failure):
                 continue
             raise sending.finish_failed(request, failure) from None
         if final is None:
@@ -72,16 +71,12 @@
 
 async def _open(parts, request, server, stream):
     left_s = request.deadline_at - parts.now()
-    patience_s = _find_patience(request)
+    patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     began = parts.now()
     opened = parts.open_attempt(server, request, left_s, stream.last_id)
-    try:
-        async with asyncio.timeout(patience_s):
-            attempt = await opened.__aenter__()
-    except TimeoutError:
-        raise errors.ServerFailed(server.name, 'silent').mark_ran(
-            errors.Ran.UNKNOWN
-        ) from None
+    attempt = await patience.wait_for_task(
+        parts, request, server, opened.__aenter__(), patience_s
+    )
     try:
         head = attempt.head
         if head.load is not None:
@@ -134,33 +129,20 @@
     return answer
 
 
-def _find_patience(request):
-    """Return seconds to wait for a first event, or None for no limit."""
-    if not request.route.is_repeatable:
-        return None
-    if request.attempts >= request.route.attempts_most:
-        return None
-    return FIRST_EVENT_TARGETS * request.route.target_s
-
-
 async def _relay(parts, request, server, stream, attempt, began):
     splitter = events.Splitter()
-    patience_s = _find_patience(request)
+    patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     while True:
-        try:
-            async with asyncio.timeout(patience_s):
-                chunk = await attempt.read()
-        except TimeoutError:
-            raise errors.ServerFailed(server.name, 'stalled').mark_ran(
-                errors.Ran.UNKNOWN
-            ) from None
+        chunk = await patience.wait_for(
+            parts, request, server, attempt.read, patience_s
+        )
+        server.heard_at = parts.now()
         if not chunk:
             break
         whole = splitter.feed(chunk)
         if not whole:
             continue
-        if patience_s is not None:
-            patience_s = GAP_TARGETS * request.route.gap_target_s
+        patience_s = GAP_TARGETS * request.route.gap_target_s
         await _pass_on(parts, request, server, stream, attempt, whole, began)
         stream.last_id = splitter.last_id or stream.last_id
     if splitter.is_cut:
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -5,6 +5,7 @@
 
 # Below this much time left, another attempt could not answer any more.
 LEAST_LEFT_S = 0.03
+PAUSING_FAILURES = (errors.EngineUnreachable, errors.ServerSilent)
 
 
 def choose_server(parts, request, tried):
@@ -52,6 +53,13 @@
     return True
 
 
+def is_repeated(parts, request, failure):
+    """Tell whether a failed attempt is followed by another, and count it."""
+    if isinstance(failure, errors.ServerSilent):
+        return True  # It was counted when its patience ran out.
+    return may_repeat(parts, request, failure.ran)
+
+
 def note_failure(parts, request, server, failure):
     """Take in that an attempt failed, for choice and roll-outs."""
     request.note_ran(failure.ran)
@@ -60,7 +68,7 @@
     if not refused:
         parts.rollouts.note(server, 'error', True)
     server.note_failure(
-        parts.now(), pauses=isinstance(failure, errors.EngineUnreachable)
+        parts.now(), pauses=isinstance(failure, PAUSING_FAILURES)
     )
     parts.metrics.count(f'attempts.{failure.code}')
     parts.log.info(
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -1,9 +1,8 @@
 """Requests whose answer comes as a whole."""
 
-import asyncio
-
 from arbutuschute import errors
 from arbutuschute.traffic import answers
+from arbutuschute.traffic import patience
 from arbutuschute.traffic import sending
 
 # An idempotent request that waits this many times its route's target is
@@ -29,7 +28,7 @@
             answer = await _exchange(parts, request, server)
         except errors.Failure as failure:
             sending.note_failure(parts, request, server, failure)
-            if sending.may_repeat(parts, request, failure.ran):
+            if sending.is_repeated(parts, request, failure):
                 continue
             if fallback is None:
                 raise sending.finish_failed(request, failure) from None
@@ -46,20 +45,15 @@
 async def _exchange(parts, request, server):
     """Return the ``Answer`` of one server; raise if there is none."""
     began = parts.now()
-    patience_s = None
-    if (
-        request.route.is_repeatable
-        and request.attempts < request.route.attempts_most
-    ):
-        patience_s = PATIENCE_TARGETS * request.route.target_s
     server.begin(began)
     try:
-        async with asyncio.timeout(patience_s):
-            answer = await _fetch(parts, request, server)
-    except TimeoutError:
-        raise errors.ServerFailed(server.name, 'silent').mark_ran(
-            errors.Ran.UNKNOWN
-        ) from None
+        answer = await patience.wait_for_task(
+            parts,
+            request,
+            server,
+            _fetch(parts, request, server),
+            PATIENCE_TARGETS * request.route.target_s,
+        )
     finally:
         server.finish(parts.now())
     request.note_ran(errors.Ran.YES)
