Place streams by the wait foreseen; let the threshold follow the load

Excluded: batch size (a step grows by under 1% a slot); patience. Change: each server keeps how long our requests waited beyond reading their prompts; a request goes where it would begin first, prompts with a shared part to one engine of the region unless that is later; an answer is dropped at lower confidence only, the later a large model would begin.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -19,6 +19,7 @@
 from arbutuschute.platform import settings as settings_module
 from arbutuschute.platform import store
 from arbutuschute.policy import canary
+from arbutuschute.policy import prefill
 from arbutuschute.policy import repeats
 from arbutuschute.policy import sizes
 from arbutuschute import timer as timer_module
@@ -76,6 +77,7 @@
         parts.repeats = repeats.Repeats(now, settings.bounds)
         parts.rollouts = canary.Rollouts(now)
         parts.models = sizes.Models()
+        parts.units = prefill.Units()
         parts.open_attempt = engine.make_opener(self._sessions[0], now)
         return parts
 
--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutuschute.machines import fleet
+from arbutuschute.policy import prefill
 
 # A failure's weight in a server's failure rate; about ten outcomes count.
 OUTCOME_SMOOTHING = 0.1
@@ -38,7 +39,7 @@
         'failures_in_row',
         'heard_at',
         'slowness',
-        'tokens_in_flight',
+        'waits',
     )
 
     def __init__(self, entry):
@@ -48,7 +49,7 @@
         self.failures_in_row = 0
         self.heard_at = float('-inf')
         self.slowness = 1.0
-        self.tokens_in_flight = 0
+        self.waits = prefill.Waits()
 
     @property
     def entry(self):
--- a/arbutuschute/policy/placement.py
+++ b/arbutuschute/policy/placement.py
@@ -8,10 +8,18 @@
 OTHER_REGION_COST = 0.35
 # A server that always fails counts as this many times busier.
 FAILURE_COST = 8.0
-# A prompt's usual server may be this much busier than the best one.
-AFFINITY_SLACK = 0.35
 NOISE = 0.03
 
+# For engines, all in seconds until the first event.
+HOP_S = 0.12
+# A failed attempt costs about this much, times how often one fails.
+FAILURE_S = 2.0
+# A full batch slows its members a little.
+BUSY_S = 0.1
+# What it is worth besides that a shared part isn't read again.
+SHARED_READ_S = 0.02
+NOISE_S = 0.004
+
 
 def find_distance(server, place):
     """Return what it costs to reach a server from ``place``.
@@ -34,23 +42,52 @@
     return cost + find_distance(server, place)
 
 
-def choose(servers, place, random, affinity=None):
-    """Return the server to use, or None where there is none.
+def choose(servers, place, random):
+    """Return the server of a plain service to use, or None."""
+    if not servers:
+        return None
+    return min(
+        servers,
+        key=lambda server: (
+            estimate_cost(server, place) + NOISE * random.random()
+        ),
+    )
+
+
+def choose_engine(servers, request, units, place, random, now):
+    """Return the engine that would begin a request soonest, or None.
 
-    ``affinity`` is the shared part of a prompt; requests that share it go
-    to one server while that is not much busier than the others.
+    Requests that share a part of their prompt go to one engine of the
+    region while that is not much later: it has read that part already.
     """
     if not servers:
         return None
-    costs = {
-        server: estimate_cost(server, place) + NOISE * random.random()
+    home = find_home(servers, request, place)
+    costs = {}
+    for server in servers:
+        cost_s = server.waits.foresee(now) + HOP_S * find_distance(
+            server, place
+        )
+        reading_s = units.expect(request, server is home) * server.slowness
+        if server is home:
+            reading_s -= SHARED_READ_S
+        cost_s += reading_s + FAILURE_S * server.failure_rate
+        cost_s += BUSY_S * choice.estimate_load(server)
+        costs[server] = cost_s + NOISE_S * random.random()
+    return min(servers, key=costs.__getitem__)
+
+
+def find_home(servers, request, place):
+    """Return the engine of the own region for a shared prompt, or None."""
+    shared = request.prompt.shared
+    if shared is None:
+        return None
+    _, region, regions = place
+    near = {
+        server.name: server
         for server in servers
+        if regions.get(server.entry.zone) == region
     }
-    best = min(servers, key=costs.__getitem__)
-    if affinity is None:
-        return best
-    by_name = {server.name: server for server in servers}
-    for name in rendezvous.rank(affinity, by_name)[:2]:
-        if costs[by_name[name]] <= costs[best] + AFFINITY_SLACK:
-            return by_name[name]
-    return best
+    if not near:
+        return None
+    return near[rendezvous.rank(shared, near)[0]]
--- a/arbutuschute/policy/sizes.py
+++ b/arbutuschute/policy/sizes.py
@@ -2,12 +2,26 @@
 
 The small model goes first: it takes a tenth of the time, its answer comes
 with its own opinion of it, and the answer is dropped for a large model's
-if that opinion is low.
+if that opinion is low. When large models begin late, an answer has to be
+worse before it is dropped: late, a better one is worth little.
 """
 
-# Confidence from which a small model's answer is kept; measured on quiet
-# days, where 30 left hard requests badly answered and 70 filled the servers.
-SURE_FROM = 50.0
+# Confidence from which a small model's answer is kept on idle engines;
+# measured on quiet days, where 30 left hard requests badly answered and 70
+# filled the engines.
+SURE_FROM = 58.0
+# The same where a large model would begin after the target.
+SURE_FROM_LATE = 12.0
+
+
+def find_threshold(foreseen_share):
+    """Return the confidence from which an answer is kept.
+
+    ``foreseen_share`` is when a large model would begin, in times of the
+    route's target.
+    """
+    share = min(max(foreseen_share, 0.0), 1.0)
+    return SURE_FROM + share * (SURE_FROM_LATE - SURE_FROM)
 
 
 class Models:
@@ -21,11 +35,15 @@
             return None
         return request.route.models[0]
 
-    def find_larger(self, request, confidence):
-        """Return the model to ask instead, or None to keep the answer."""
+    def find_larger(self, request, confidence, foreseen_s):
+        """Return the model to ask instead, or None to keep the answer.
+
+        ``foreseen_s`` is when it would begin, seconds from arrival.
+        """
         models = request.route.models
         if request.model is None or request.model == models[-1]:
             return None
-        if confidence is None or confidence >= SURE_FROM:
+        threshold = find_threshold(foreseen_s / request.route.target_s)
+        if confidence is None or confidence >= threshold:
             return None
         return models[-1]
--- a/arbutuschute/traffic/parts.py
+++ b/arbutuschute/traffic/parts.py
@@ -27,6 +27,7 @@
         'state',
         'stopping_at',
         'table',
+        'units',
     )
 
     def __init__(self, name):
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -61,11 +61,9 @@
 async def _attempt(parts, request, server, stream):
     """Relay what one server sends; return its answer if it is no stream."""
     server.begin(parts.now())
-    server.tokens_in_flight += request.prompt.tokens
     try:
         return await _open(parts, request, server, stream)
     finally:
-        server.tokens_in_flight -= request.prompt.tokens
         server.finish(parts.now())
 
 
@@ -74,11 +72,18 @@
     patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     began = parts.now()
     opened = parts.open_attempt(server, request, left_s, stream.last_id)
-    attempt = await patience.wait_for_task(
-        parts, request, server, opened.__aenter__(), patience_s
-    )
+    server.waits.begin(request, parts.units.expect(request), began)
+    attempt = None
+    try:
+        attempt = await patience.wait_for_task(
+            parts, request, server, opened.__aenter__(), patience_s
+        )
+    finally:
+        server.waits.finish(request, parts.now(), attempt is not None)
     try:
         head = attempt.head
+        if head.is_success:
+            parts.units.note(request, parts.now() - began)
         if head.load is not None:
             server.hear_load(head.load, head.slowness, parts.now())
         request.note_ran(errors.Ran.UNKNOWN)
@@ -101,7 +106,8 @@
 
     Raise ``_Dropped`` if a larger model is worth asking.
     """
-    larger = parts.models.find_larger(request, head.confidence)
+    foreseen_s = sending.foresee_large(parts, request)
+    larger = parts.models.find_larger(request, head.confidence, foreseen_s)
     if larger is None:
         return
     if not sending.may_repeat(parts, request, errors.Ran.YES):
@@ -112,6 +118,7 @@
         server=server.name,
         model=request.model,
         confidence=head.confidence,
+        foreseen_s=round(foreseen_s, 3),
         next=larger,
     )
     parts.metrics.count('answers.dropped')
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -23,6 +23,11 @@
             return None
         return self.parts[-2][0]
 
+    @property
+    def shared_tokens(self):
+        """Tokens in the parts that other requests share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
 
 class Request:
     """A request; ``deadline_at`` is in the timer's seconds."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -19,11 +19,8 @@
     allowed = parts.rollouts.select(request.service, live, request.affinity)
     fresh = [server for server in allowed if server.name not in tried]
     usable = [server for server in fresh if server.is_open(now)]
-    affinity = request.prompt.shared
     # Where all are paused, the least bad is better than none.
-    chosen = placement.choose(
-        usable or fresh, parts.place, parts.random, affinity
-    )
+    chosen = _choose_among(parts, request, usable or fresh)
     if chosen is None:
         raise errors.NoBackendServer(request.service).mark_ran(request.ran)
     parts.log.debug(
@@ -38,6 +35,28 @@
     return chosen
 
 
+def _choose_among(parts, request, servers):
+    if not request.route.is_stream:
+        return placement.choose(servers, parts.place, parts.random)
+    return placement.choose_engine(
+        servers, request, parts.units, parts.place, parts.random, parts.now()
+    )
+
+
+def foresee_large(parts, request):
+    """Return the seconds until a large model would begin, from arrival."""
+    now = parts.now()
+    waits = [
+        server.waits.foresee(now)
+        for server in parts.directory.find(request.service)
+        if server.is_open(now)
+    ]
+    model, request.model = request.model, request.route.models[-1]
+    expected_s = parts.units.expect(request)
+    request.model = model
+    return now - request.received_at + min(waits, default=0.0) + expected_s
+
+
 def may_repeat(parts, request, ran):
     """Tell whether the request may be sent once more, and count it."""
     route = request.route
