Test the path on a stand-in of the platform, and mend what that found

Cause: the path had no tests; on a stand-in, streams on a route without sizes ended with 500 (index error), a deadline during a send said 'not run', a roll-out's steps lost against the writer's own evidence, a retry on a new version had no old one to go to, and a stream that broke at both servers gave up with an attempt left. Change: those five; waits for the store scale with the lease; tests of the path, streams, store, decisions and the boundary.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -35,6 +35,8 @@
 EXIT_MARGIN_S = 0.4
 CHECK_PERIOD_S = 0.05
 BACKLOG = 512
+# What still runs when the time to stop has passed is cut off.
+SHUTDOWN_S = 0.1
 
 
 class Instance:
@@ -119,6 +121,15 @@
         await self._stopping.wait()
         await self._stop()
 
+    @property
+    def is_listening(self):
+        """Whether the platform can ask for readiness."""
+        return bool(self._runners)
+
+    def ask_to_stop(self):
+        """Do what a signal does."""
+        self._stopping.set()
+
     async def _start(self):
         self._log.info('starting', zone=self._settings.zone)
         await self._listen(
@@ -136,7 +147,7 @@
         self._log.info('started', version=self.parts.table.version)
 
     async def _listen(self, server, address):
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
         await site.start()
@@ -178,9 +189,15 @@
             self._ingress.close_idle()
         await self._wait_until(lambda: parts.in_flight == 0, end)
         self._log.info('stopped', cut=parts.in_flight)
+        await self.close()
+
+    async def close(self):
+        """End the tasks and close every connection."""
         for task in self._tasks:
             task.remove_done_callback(self._notice_end)
             task.cancel()
+        for runner, _ in self._runners:
+            await runner.cleanup()
         for session in self._sessions:
             await session.close()
 
--- a/arbutuschute/ledgers/freshness.py
+++ b/arbutuschute/ledgers/freshness.py
@@ -8,11 +8,11 @@
     Times are seconds of a clock that goes on while a machine is suspended.
     """
 
-    __slots__ = ('_lease_s', '_now', 'proven_at')
+    __slots__ = ('_now', 'lease_s', 'proven_at')
 
     def __init__(self, now, lease_s):
         self._now = now
-        self._lease_s = lease_s
+        self.lease_s = lease_s
         self.proven_at = float('-inf')
 
     def prove(self, at):
@@ -27,4 +27,4 @@
     @property
     def is_valid(self):
         """Whether the lease still runs."""
-        return self.age_s <= self._lease_s
+        return self.age_s <= self.lease_s
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -9,8 +9,9 @@
 from arbutuschute.platform import store as store_module
 
 # An empty answer after this wait proves that nothing is newer. Each is a
-# priced call; the lease is several times as long.
+# priced call; the lease is several times as long, whatever its length.
 OPERATOR_WAIT_S = 1.2
+WAIT_SHARE_OF_LEASE = 0.3
 # Servers write about every second and each read is a priced call; a server
 # that leaves has to be noticed within the bound for leaving, 2.5 s and more.
 SERVERS_PERIOD_S = 0.9
@@ -84,7 +85,7 @@
     """Follows the operator's records; keeps the lease alive."""
 
     __slots__ = ('_apply_order', '_apply_table', '_freshness', '_log',
-                 '_offset', '_timer', '_topic')  # fmt: skip
+                 '_offset', '_timer', '_topic', '_wait_s')  # fmt: skip
 
     def __init__(self, store, timer, log, freshness, apply_table,
                  apply_order):  # fmt: skip
@@ -94,10 +95,18 @@
         self._apply_table = apply_table
         self._apply_order = apply_order
         self._offset = -1
+        self._wait_s = min(
+            OPERATOR_WAIT_S, WAIT_SHARE_OF_LEASE * freshness.lease_s
+        )
         self._topic = Topic(
             store, configuration.TOPIC, log, self._start, self._apply
         )
 
+    @property
+    def position(self):
+        """The offset of the next record to come, None before the first."""
+        return self._topic.position
+
     def _start(self, records):
         for record in records:
             self._apply(record)
@@ -127,7 +136,9 @@
         """Follow for ever."""
         while True:
             asked_at = self._timer.now()
-            wait_s = OPERATOR_WAIT_S if self._topic.position else 0.0
+            wait_s = 0.0
+            if self._topic.position is not None:
+                wait_s = self._wait_s
             answer = await self._topic.read(wait_s)
             if isinstance(answer, result.Failure):
                 await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
@@ -153,6 +164,11 @@
             store, directory_records.TOPIC, log, self._start, self._apply
         )
 
+    @property
+    def is_failing(self):
+        """Whether the last reading failed."""
+        return self._topic.failing
+
     def _start(self, records):
         for record in records:
             self._apply(record)
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -13,6 +13,8 @@
 EVIDENCE_PERIOD_S = 2.5
 # The writer of a last step may die before it has told the operator.
 STATUS_TAKEOVER_S = 1.0
+# Others' evidence may come between our reading and our step.
+STEP_TRIES = 3
 
 
 class RolloutTask:
@@ -79,12 +81,14 @@
         if rollout.phase is not canary.Phase.RUNNING:
             await self._tell_operator(rollout)
             return
-        await self._put_evidence(rollout)
-        step = rollout.decide(
-            self._identity, self._timer.now(), self._is_old_idle(rollout)
-        )
-        if step is not None:
-            await self._put_step(rollout, step)
+        for _ in range(STEP_TRIES):
+            step = rollout.decide(
+                self._identity, self._timer.now(), self._is_old_idle(rollout)
+            )
+            if step is None or await self._put_step(rollout, step):
+                break
+        if rollout.phase is canary.Phase.RUNNING:
+            await self._put_evidence(rollout)
 
     def _is_old_idle(self, rollout):
         return not any(
@@ -110,7 +114,7 @@
         await self._store.put(TOPIC, key, canary.encode(evidence))
 
     async def _put_step(self, rollout, step):
-        """Write a step unless something came since we read."""
+        """Write a step unless something came since we read; tell whether."""
         key = f'step/{step.service}'
         answer = await self._store.put(
             TOPIC, key, canary.encode(step), at=self._topic.position
@@ -127,11 +131,12 @@
             elapsed_s=round(step.elapsed_s, 2),
             written=isinstance(answer, result.Success),
         )
-        if isinstance(answer, result.Failure):
-            return
         await self._topic.read()
+        if isinstance(answer, result.Failure):
+            return False
         if step.number == 0 or step.phase is not canary.Phase.RUNNING:
             await self._put_status(rollout)
+        return True
 
     async def _tell_operator(self, rollout):
         """Write the last status if its first writer did not."""
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -265,4 +265,4 @@
         ]
         if chosen or not wants_new:
             return chosen
-        return usable
+        return usable  # No server of the new version is left to ask.
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -37,7 +37,7 @@
     while True:
         server = sending.choose_server(parts, request, tried)
         tried.add(server.name)
-        request.attempts += 1
+        request.begin_attempt()
         try:
             final = await _attempt(parts, request, server, stream)
         except _Dropped:
@@ -106,6 +106,8 @@
 
     Raise ``_Dropped`` if a larger model is worth asking.
     """
+    if request.model is None:
+        return
     foreseen_s = sending.foresee_large(parts, request)
     larger = parts.models.find_larger(request, head.confidence, foreseen_s)
     if larger is None:
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -39,6 +39,7 @@
         'headers',
         'host',
         'id',
+        'is_out',
         'key',
         'last_event_id',
         'method',
@@ -73,6 +74,8 @@
         self.service = None
         self.version = 0
         self.attempts = 0
+        # Whether an attempt is out of which nothing is known yet.
+        self.is_out = False
         self.ran = errors.Ran.NO
 
     @property
@@ -80,7 +83,20 @@
         """What the request shares with others; its own id otherwise."""
         return self.prompt.shared or self.id
 
+    @property
+    def known_ran(self):
+        """Whether the request has run, as far as can be known now."""
+        if self.is_out and self.ran is errors.Ran.NO:
+            return errors.Ran.UNKNOWN
+        return self.ran
+
+    def begin_attempt(self):
+        """Note that the request goes out once more."""
+        self.attempts += 1
+        self.is_out = True
+
     def note_ran(self, ran):
         """Remember the most that any attempt may have run."""
+        self.is_out = False
         if _RAN_ORDER.index(ran) > _RAN_ORDER.index(self.ran):
             self.ran = ran
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -11,13 +11,15 @@
 def choose_server(parts, request, tried):
     """Return the server for the next attempt, or raise ``NoBackendServer``.
 
-    ``tried`` holds the names of servers that are not asked again.
+    ``tried`` holds the names of servers that were asked already.
     """
     listed = parts.directory.find(request.service)
     now = parts.now()
     live = [server for server in listed if not server.leaving]
-    allowed = parts.rollouts.select(request.service, live, request.affinity)
-    fresh = [server for server in allowed if server.name not in tried]
+    untried = [server for server in live if server.name not in tried]
+    if not untried and request.route.is_stream:
+        untried = live  # What broke once may go on where it broke.
+    fresh = parts.rollouts.select(request.service, untried, request.affinity)
     usable = [server for server in fresh if server.is_open(now)]
     # Where all are paused, the least bad is better than none.
     chosen = _choose_among(parts, request, usable or fresh)
--- a/arbutuschute/traffic/story.py
+++ b/arbutuschute/traffic/story.py
@@ -28,7 +28,7 @@
     except TimeoutError:
         raise errors.DeadlinePassed(
             int((request.deadline_at - request.received_at) * 1000)
-        ).mark_ran(request.ran) from None
+        ).mark_ran(request.known_ran) from None
     finally:
         parts.in_flight -= 1
 
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -23,7 +23,7 @@
                 raise
             break
         tried.add(server.name)
-        request.attempts += 1
+        request.begin_attempt()
         try:
             answer = await _exchange(parts, request, server)
         except errors.Failure as failure:
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,194 @@
+"""One instance in this process, on the stand-in of the platform."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+
+import aiohttp
+from aiohttp import web
+import pytest_asyncio
+import yarl
+
+from arbutuschute import instance
+from arbutuschute.platform import settings
+from tests.platform import standin
+
+HOST = '127.0.0.1'
+SETTINGS = """\
+# written by the tests
+node=edge-a-1
+zone=a
+region=r
+zones.a=r
+listen.frontendAddress=127.0.0.1:{callers}
+listen.readiness=127.0.0.1:{readiness}
+portRange=7340,7355
+bounds.revokeMs=1800
+bounds.graceS=5
+bounds.budgetSlack=4000
+platform.address=127.0.0.1:{store}
+"""
+
+
+def make_route(name, kind, **more):
+    return {
+        'name': name,
+        'host': 'a.example',
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': 3000,
+        'targetLatencyMs': 300,
+        'service': 'plain',
+        'maxAttempts': 3,
+        **more,
+    }
+
+
+def make_configuration(version, routes=(), keys=(standin.KEY,)):
+    usual = [
+        make_route('once', 'non_idempotent'),
+        make_route('again', 'idempotent'),
+        make_route('open', 'idempotent', public=True),
+        make_route('stream', 'streaming', resumable=True),
+        make_route(
+            'sized', 'streaming', resumable=True, sizes=['small', 'large']
+        ),
+    ]
+    return {
+        'version': version,
+        'routes': [*usual, *routes],
+        'services': [{'name': 'plain'}],
+        'limits': {
+            'maxHeaderBytes': 4096,
+            'maxBodyBytes': 10_000,
+            'headerTimeoutMs': 1000,
+            'idleTimeoutMs': 5000,
+        },
+        'tenants': [{'name': 'dispatch', 'apiKeys': list(keys)}],
+    }
+
+
+class World:
+    """The stand-in, one instance and a caller."""
+
+    def __init__(self):
+        self.store = standin.Store()
+        self.engines = {}
+        self.instance = None
+        self.running = None
+        self._runners = []
+        self._ports = {}
+        self.http = aiohttp.ClientSession()
+
+    async def start(self, answers=(standin.answer_ok,)):
+        self._ports['store'] = await self._serve(
+            web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
+        )
+        for number, answer in enumerate(answers):
+            await self.add_engine(f'i-{number}', answer)
+        self.store.put('keyed.op', 'config', make_configuration(1))
+        self._ports['callers'] = find_free_port()
+        self._ports['readiness'] = find_free_port()
+        text = SETTINGS.format(**self._ports)
+        self.instance = instance.Instance(
+            settings.decode(text, 'test').unwrap(),
+            'test',
+            asyncio.get_running_loop(),
+        )
+        self.running = asyncio.ensure_future(self.instance.run())
+        await wait_for(lambda: self.instance.parts.state == 'live')
+
+    async def add_engine(self, name, answer=None, **entry):
+        engine = standin.Engine(name, answer)
+        port = await self._serve(
+            web.ServerRunner(
+                web.Server(engine.handle, handler_cancellation=True),
+                shutdown_timeout=0.1,
+            )
+        )
+        engine.address = f'{HOST}:{port}'
+        self.engines[name] = engine
+        self.list_engine(engine, **entry)
+        return engine
+
+    def list_engine(self, engine, **more):
+        entry = {
+            'service': 'plain',
+            'address': engine.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'sequence': 1,
+            'born': 1,
+            **more,
+        }
+        self.store.put('keyed.servers', engine.name, entry)
+
+    async def _serve(self, runner):
+        await runner.setup()
+        site = web.TCPSite(runner, HOST, 0)
+        await site.start()
+        self._runners.append(runner)
+        return runner.addresses[0][1]
+
+    def call(self, path, method='POST', deadline_ms=2000, **more):
+        """Send a request; an async context manager of its response."""
+        headers = {
+            'Host': 'a.example',
+            'Arbutuschute-Attempt-Id': 'r-1',
+            'Arbutuschute-Key': standin.KEY,
+            'Arbutuschute-Deadline-Ms': str(deadline_ms),
+            **more.pop('headers', {}),
+        }
+        headers = {name: v for name, v in headers.items() if v is not None}
+        base = f'http://{HOST}:{self._ports["callers"]}'
+        url = yarl.URL(base + path, encoded=True)
+        return self.http.request(method, url, headers=headers, **more)
+
+    async def connect(self):
+        return await asyncio.open_connection(HOST, self._ports['callers'])
+
+    async def ask_ready(self):
+        url = f'http://{HOST}:{self._ports["readiness"]}/readyz'
+        async with self.http.get(url) as response:
+            return response.status
+
+    def count_arrivals(self):
+        return sum(len(engine.seen) for engine in self.engines.values())
+
+    async def stop(self):
+        await self.http.close()
+        if self.running is not None:
+            self.running.cancel()
+            await asyncio.gather(self.running, return_exceptions=True)
+            await self.instance.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            with contextlib.suppress(ValueError):
+                loop.remove_signal_handler(name)
+
+
+def find_free_port():
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+async def wait_for(is_done, within_s=10.0):
+    """Wait for a state; fail if it never comes."""
+    async with asyncio.timeout(within_s):
+        while not is_done():
+            await asyncio.sleep(0.01)
+
+
+@pytest_asyncio.fixture
+async def world():
+    made = World()
+    try:
+        yield made
+    finally:
+        await made.stop()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,230 @@
+"""Configuration, servers and roll-outs as the store brings them."""
+
+import asyncio
+
+from arbutuschute.platform import followers
+from tests.platform import conftest
+from tests.platform import standin
+
+
+async def ask(world, path='/again/x', **more):
+    async with world.call(path, **more) as response:
+        await response.read()
+        return response.status
+
+
+async def wait_for_status(world, status, path='/again/x', within_s=5.0):
+    async with asyncio.timeout(within_s):
+        while await ask(world, path) != status:
+            await asyncio.sleep(0.02)
+
+
+async def test_new_route_is_in_force(world):
+    await world.start()
+    route = conftest.make_route('new', 'idempotent')
+    assert await ask(world, '/new/x') == 404
+    changed = conftest.make_configuration(2, [route])
+    world.store.put('keyed.op', 'config', changed)
+    await wait_for_status(world, 200, '/new/x')
+
+
+async def test_revoked_key_is_refused(world):
+    await world.start()
+    changed = conftest.make_configuration(2, keys=['another'])
+    world.store.put('keyed.op', 'config', changed)
+    await wait_for_status(world, 401)
+    arrived = world.count_arrivals()
+    assert await ask(world) == 401
+    assert world.count_arrivals() == arrived
+
+
+async def test_older_configuration_does_not_return(world):
+    await world.start()
+    route = conftest.make_route('new', 'idempotent')
+    changed = conftest.make_configuration(5, [route])
+    world.store.put('keyed.op', 'config', changed)
+    await wait_for_status(world, 200, '/new/x')
+    world.store.put('keyed.op', 'config', conftest.make_configuration(3))
+    world.store.put('keyed.op', 'rollout/other', 'malformed')
+    await conftest.wait_for(lambda: world.instance.operator.position == 4)
+    assert await ask(world, '/new/x') == 200
+
+
+async def test_malformed_configuration_changes_nothing(world):
+    await world.start()
+    world.store.put_raw('keyed.op', 'config', b'{"version": 9, "routes": 1}')
+    await conftest.wait_for(lambda: world.instance.operator.position == 2)
+    assert await ask(world) == 200
+
+
+async def test_without_the_store_keyed_requests_are_refused_in_time(world):
+    await world.start()
+    world.store.fault = 'silent'
+    await wait_for_status(world, 503, within_s=1.8)
+    assert await world.ask_ready() == 503
+    world.store.fault = None
+    await wait_for_status(world, 200)
+    assert await world.ask_ready() == 200
+
+
+async def test_without_a_configuration_nothing_is_called_unknown(world):
+    world.store.fault = 'busy'
+    starting = asyncio.ensure_future(world.start())
+    await conftest.wait_for(lambda: world.instance is not None)
+    await conftest.wait_for(lambda: world.instance.is_listening)
+    assert await world.ask_ready() == 503
+    world.store.fault = None
+    await starting
+    assert await ask(world) == 200
+
+
+async def test_leaving_server_gets_no_new_requests(world):
+    await world.start([standin.answer_ok, standin.answer_ok])
+    world.list_engine(world.engines['i-0'], state='draining', sequence=2)
+    server = world.instance.parts.directory.servers['i-0']
+    await conftest.wait_for(lambda: server.leaving, 2.5)
+    arrived = len(world.engines['i-0'].seen)
+    for _ in range(6):
+        assert await ask(world) == 200
+    assert len(world.engines['i-0'].seen) == arrived
+
+
+async def test_removed_server_gets_no_new_requests(world):
+    await world.start([standin.answer_ok, standin.answer_ok])
+    world.store.put('keyed.servers', 'i-1', None)
+    servers = world.instance.parts.directory.servers
+    await conftest.wait_for(lambda: 'i-1' not in servers, 2.5)
+    for _ in range(6):
+        assert await ask(world) == 200
+    assert not world.engines['i-1'].seen
+
+
+async def test_malformed_entries_name_no_server(world):
+    await world.start()
+    entry = {'service': 'plain', 'address': '127.0.0.1:1', 'zone': 'a'}
+    world.store.put('keyed.servers', 'i-bad', entry)
+    full = {**entry, 'version': 'v1', 'slots': 4, 'sequence': 1}
+    world.store.put('keyed.servers', 'i-odd', {**full, 'state': 'odd'})
+    world.store.put_raw('keyed.servers', 'i-raw', b'\xff\x00')
+    await world.add_engine('i-good')
+    servers = world.instance.parts.directory.servers
+    await conftest.wait_for(lambda: 'i-good' in servers)
+    assert set(servers) == {'i-0', 'i-good'}
+
+
+async def test_history_that_is_gone_is_read_anew(world):
+    await world.start([standin.answer_ok, standin.answer_ok])
+    world.store.fault = 'busy'
+    world.store.put('keyed.servers', 'i-1', None)
+    await world.add_engine('i-2')
+    for _ in range(3):
+        await world.add_engine(f'i-x{_}')
+    world.store.compact('keyed.servers')
+    world.store.fault = None
+    servers = world.instance.parts.directory.servers
+    await conftest.wait_for(
+        lambda: 'i-2' in servers and 'i-1' not in servers,
+        followers.RETURN_AFTER_OUTAGE_S + 3.0,
+    )
+
+
+async def test_entries_that_lapsed_in_an_outage_stay_in_use(world):
+    await world.start()
+    world.store.fault = 'busy'
+    await conftest.wait_for(lambda: world.instance.servers.is_failing)
+    world.store.put('keyed.servers', 'i-0', None)
+    world.store.fault = None
+    await conftest.wait_for(lambda: not world.instance.servers.is_failing)
+    assert await ask(world) == 200
+    world.list_engine(world.engines['i-0'], sequence=5)
+    directory = world.instance.parts.directory
+    await asyncio.sleep(followers.RETURN_AFTER_OUTAGE_S + 1.2)
+    assert 'i-0' in directory.servers
+    assert await ask(world) == 200
+
+
+async def test_server_that_stays_away_after_an_outage_is_gone(world):
+    await world.start([standin.answer_ok, standin.answer_ok])
+    world.store.fault = 'busy'
+    await conftest.wait_for(lambda: world.instance.servers.is_failing)
+    world.store.put('keyed.servers', 'i-0', None)
+    world.store.fault = None
+    directory = world.instance.parts.directory
+    await conftest.wait_for(
+        lambda: 'i-0' not in directory.servers,
+        followers.RETURN_AFTER_OUTAGE_S + 3.0,
+    )
+
+
+async def test_new_process_under_an_old_name_is_another_server(world):
+    await world.start()
+    directory = world.instance.parts.directory
+    before = directory.servers['i-0']
+    world.list_engine(world.engines['i-0'], born=2)
+    await conftest.wait_for(lambda: directory.servers['i-0'] is not before)
+
+
+async def test_stop_finishes_what_was_begun(world):
+    slow = standin.make_stream(10, gap_s=0.2)
+    await world.start([slow])
+    async with world.call('/stream/x', deadline_ms=10_000) as response:
+        await response.content.readany()
+        world.instance.ask_to_stop()
+        await asyncio.sleep(0.1)
+        assert await world.ask_ready() == 503
+        body = await response.read()
+        assert b'data: 10\n\n' in body
+    await asyncio.wait_for(world.running, 8)
+
+
+async def test_stop_answers_on_kept_connections_and_closes_them(world):
+    await world.start()
+    assert await ask(world) == 200
+    world.instance.ask_to_stop()
+    await asyncio.sleep(0.1)
+    async with world.call('/again/x') as response:
+        assert response.status == 200
+        assert response.headers['Connection'] == 'close'
+    await asyncio.wait_for(world.running, 8)
+
+
+async def test_rollout_reaches_its_end_and_the_operator_hears_of_it(world):
+    await world.start()
+    await world.add_engine('i-new', version='v2')
+    order = {'service': 'plain', 'target': 'v2', 'durationS': 6}
+    world.store.put('keyed.op', 'rollout/plain', order)
+    statuses = set()
+    number = 0
+    async with asyncio.timeout(15):
+        while 'completed' not in statuses:
+            number += 1
+            await ask(world, headers={'Arbutuschute-Attempt-Id': f'{number}'})
+            raw = world.store.find('keyed.status', 'rollout/plain')
+            if raw is not None:
+                assert b'"target":"v2"' in raw
+                statuses.add(
+                    raw.split(b'"state":"')[1].split(b'"')[0].decode()
+                )
+            await asyncio.sleep(0.004)
+    assert statuses == {'in_progress', 'completed'}
+
+
+async def test_bad_version_is_rolled_back(world):
+    await world.start()
+    bad = await world.add_engine('i-new', standin.answer_error, version='v2')
+    order = {'service': 'plain', 'target': 'v2', 'durationS': 20}
+    for number in range(80):
+        await ask(world, headers={'Arbutuschute-Attempt-Id': f'{number}'})
+    world.store.put('keyed.op', 'rollout/plain', order)
+    number = 0
+    async with asyncio.timeout(15):
+        while b'rolled_back' not in (
+            world.store.find('keyed.status', 'rollout/plain') or b''
+        ):
+            number += 1
+            await ask(world, headers={'Arbutuschute-Attempt-Id': f'{number}'})
+            await asyncio.sleep(0.004)
+    arrived = len(bad.seen)
+    for number in range(100):
+        await ask(world, headers={'Arbutuschute-Attempt-Id': f'x{number}'})
+    assert len(bad.seen) == arrived
--- /dev/null
+++ b/tests/test_boundary.py
@@ -0,0 +1,23 @@
+"""Nothing outside the adapter knows the platform's names."""
+
+import pathlib
+import re
+
+import arbutuschute
+
+ROOT = pathlib.Path(arbutuschute.__file__).parent
+WIRE_NAMES = re.compile(
+    r'Arbutuschute-|log-(append|read|newest|join|commit|trim)|keyed\.'
+    r'|Kv-From|kv-|readyz|pathPrefix|targetLatencyMs|apiKeys|frontendAddress'
+)
+
+
+def test_wire_names_stand_in_the_adapter_only():
+    found = [
+        f'{path.relative_to(ROOT)}:{number}'
+        for path in ROOT.rglob('*.py')
+        if 'platform' not in path.relative_to(ROOT).parts
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if WIRE_NAMES.search(line)
+    ]
+    assert not found
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,421 @@
+"""Decisions about routed requests, without a network.
+
+Each test names the load or fault pattern that it answers.
+"""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from arbutuschute.contracts import routes
+from arbutuschute import errors
+from arbutuschute.ledgers import freshness
+from arbutuschute.machines import servers
+from arbutuschute.platform import settings
+from arbutuschute.policy import canary
+from arbutuschute.policy import placement
+from arbutuschute.policy import prefill
+from arbutuschute.policy import repeats
+from arbutuschute.policy import sizes
+from arbutuschute.traffic import events
+from arbutuschute.traffic import request as requests
+
+PLACE = ('a', 'r', {'a': 'r', 'b': 'r', 'far': 'q'})
+
+
+class Clock:
+    def __init__(self):
+        self.time = 0.0
+
+    def __call__(self):
+        return self.time
+
+
+def make_route(name, prefix, **more):
+    return routes.Route(
+        name=name,
+        host='h',
+        path_prefix=prefix,
+        targets=(routes.Target('s'),),
+        kind=more.pop('kind', routes.Kind.IDEMPOTENT),
+        timeout_s=5.0,
+        target_s=1.0,
+        **more,
+    )
+
+
+def make_server(name, zone='a', version='v1', **more):
+    entry = servers.Entry(
+        name, 's', f'10.0.0.1:{len(name)}', zone, version, 8, 'live', **more
+    )
+    return servers.Server(entry)
+
+
+def make_request(request_id='r', tokens=1000, shared='p', model='m'):
+    request = requests.Request(request_id, 'POST', '/x/', 'h', 0.0)
+    request.service = 's'
+    request.model = model
+    request.prompt = requests.Prompt(
+        model, tokens, 50, ((shared, tokens // 2), ('own', tokens // 2))
+    )
+    return request
+
+
+# Routes.
+
+
+def make_table(*made, organisations=()):
+    return routes.Table(1, made, (), organisations, routes.Limits())
+
+
+def test_longest_prefix_wins():
+    table = make_table(make_route('short', '/a/'), make_route('long', '/a/b/'))
+    assert table.find_route('H', '/a/b/c').name == 'long'
+    assert table.find_route('h', '/a/bb').name == 'short'
+    with pytest.raises(errors.UnknownRoute):
+        table.find_route('h', '/ab/')
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'repeatable'),
+    [
+        (routes.Kind.IDEMPOTENT, False, True),
+        (routes.Kind.AT_MOST_ONCE, True, False),
+        (routes.Kind.STREAM, False, False),
+        (routes.Kind.STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    kind, resumable, repeatable
+):
+    route = make_route('r', '/a/', kind=kind, resumable=resumable)
+    assert route.is_repeatable is repeatable
+
+
+def test_key_names_its_organisation_and_no_other():
+    table = make_table(
+        make_route('r', '/a/'),
+        organisations=[routes.Organisation('o', ('k1', 'k2'))],
+    )
+    route = table.find_route('h', '/a/')
+    assert table.find_organisation(route, 'k2').name == 'o'
+    for key in (None, '', 'k', 'K1'):
+        with pytest.raises(errors.UnknownKey):
+            table.find_organisation(route, key)
+
+
+# Lease.
+
+
+def test_lease_runs_out_without_proofs_and_never_moves_back():
+    clock = Clock()
+    lease = freshness.Freshness(clock, 4.0)
+    assert not lease.is_valid
+    lease.prove(0.0)
+    clock.time = 3.9
+    assert lease.is_valid
+    lease.prove(2.0)
+    lease.prove(1.0)
+    clock.time = 5.9
+    assert lease.is_valid
+    clock.time = 6.1
+    assert not lease.is_valid
+
+
+# Repeats: failures everywhere at once, on many instances.
+
+
+@given(
+    instances=strategies.integers(1, 40),
+    arrivals=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 39), strategies.floats(0, 0.3)
+        ),
+        max_size=300,
+    ),
+)
+def test_repeats_of_all_instances_stay_in_the_deployments_budget(
+    instances, arrivals
+):
+    clock = Clock()
+    bounds = settings.Bounds()
+    budgets = [repeats.Repeats(clock, bounds) for _ in range(instances)]
+    requested, repeated = [], []
+    for number, gap_s in arrivals:
+        clock.time += gap_s
+        budget = budgets[number % instances]
+        budget.note_request('s')
+        requested.append(clock.time)
+        while budget.spend('s'):
+            repeated.append(clock.time)
+        since = clock.time - bounds.repeat_window_s
+        window = [at for at in repeated if at >= since]
+        asked = [at for at in requested if at >= since]
+        allowed = bounds.repeat_share * len(asked) + bounds.repeat_slack
+        assert len(window) <= allowed
+
+
+# Events.
+
+
+@given(
+    count=strategies.integers(0, 20),
+    cuts=strategies.lists(strategies.integers(0, 400), max_size=12),
+)
+def test_events_come_out_whole_however_they_are_cut(count, cuts):
+    data = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(1, count + 1))
+    splitter = events.Splitter()
+    places = sorted({0, *(min(cut, len(data)) for cut in cuts), len(data)})
+    out = b''
+    for start, end in zip(places, places[1:], strict=False):
+        whole = splitter.feed(data[start:end])
+        assert not whole or whole.endswith(b'\n\n')
+        out += whole
+        given_out = out.count(b'\n\n')
+        assert splitter.last_id == (str(given_out) if given_out else None)
+    assert out == data
+    assert not splitter.is_cut
+
+
+def test_cut_event_is_noticed():
+    splitter = events.Splitter()
+    splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+    assert splitter.is_cut
+    assert splitter.last_id == '1'
+
+
+# Placement: long prompts fill single engines.
+
+
+def choose(servers_, request, units=None, now=0.0):
+    return placement.choose_engine(
+        servers_,
+        request,
+        units or prefill.Units(),
+        PLACE,
+        random.Random(1),
+        now,
+    )
+
+
+def test_long_prompts_ahead_send_the_next_request_elsewhere():
+    first, second = make_server('x'), make_server('y')
+    long = make_request('long', shared='p1')
+    first.waits.begin(long, 0.4, 0.0)
+    for number in range(20):
+        request = make_request(f'r{number}', tokens=100, shared=f'q{number}')
+        assert choose([first, second], request) is second
+
+
+def test_requests_with_a_shared_part_go_to_one_engine():
+    made = [make_server(f'e{n}') for n in range(6)]
+    chosen = {choose(made, make_request(f'r{n}')).name for n in range(50)}
+    assert len(chosen) == 1
+
+
+def test_hot_prompt_overflows_when_its_engine_is_late():
+    made = [make_server(f'e{n}') for n in range(6)]
+    home = choose(made, make_request())
+    for number in range(5):
+        home.waits.begin(make_request(f'w{number}'), 0.2, 0.0)
+    assert choose(made, make_request()) is not home
+
+
+def test_wait_is_forgotten_and_server_used_again():
+    waits = prefill.Waits()
+    request = make_request()
+    waits.begin(request, 0.0, 0.0)
+    waits.finish(request, 3.0, has_begun=False)
+    assert waits.foresee(3.0) > 2.0
+    assert waits.foresee(13.0) < 0.01
+
+
+def test_engine_that_answers_nothing_looks_ever_later():
+    waits = prefill.Waits()
+    waits.begin(make_request(), 0.1, 0.0)
+    assert waits.foresee(2.0) > waits.foresee(1.0) > waits.foresee(0.2)
+
+
+def test_far_region_is_used_only_when_the_near_one_is_late():
+    near, far = make_server('near'), make_server('far', zone='far')
+    assert choose([near, far], make_request()) is near
+    for number in range(6):
+        near.waits.begin(make_request(f'w{number}'), 0.1, 0.0)
+    assert choose([near, far], make_request()) is far
+
+
+def test_failing_server_is_avoided_by_plain_requests():
+    good, grey = make_server('good', zone='b'), make_server('grey')
+    for _ in range(5):
+        grey.note_failure(0.0, pauses=False)
+    assert placement.choose([good, grey], PLACE, random.Random(1)) is good
+    for _ in range(60):
+        grey.note_success()
+    assert placement.choose([good, grey], PLACE, random.Random(1)) is grey
+
+
+# Sizes: a crest, where large models begin late.
+
+
+def test_threshold_falls_as_large_models_begin_later():
+    found = [sizes.find_threshold(share / 10) for share in range(15)]
+    assert found == sorted(found, reverse=True)
+    assert found[0] == sizes.SURE_FROM
+    assert found[-1] == sizes.SURE_FROM_LATE
+
+
+# Directory: incarnations, outages.
+
+
+def test_removals_after_an_outage_are_held():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_server('x').entry)
+    directory.hold_removals(2.0)
+    directory.remove('x')
+    clock.time = 1.9
+    directory.settle()
+    assert 'x' in directory.servers
+    clock.time = 2.1
+    directory.settle()
+    assert 'x' not in directory.servers
+
+
+def test_entry_that_returns_cancels_its_removal():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    entry = make_server('x').entry
+    directory.apply(entry)
+    directory.hold_removals(2.0)
+    directory.remove('x')
+    directory.apply(entry)
+    clock.time = 5.0
+    directory.settle()
+    assert 'x' in directory.servers
+
+
+def test_leaving_is_not_undone_by_an_older_entry():
+    directory = servers.Directory(Clock())
+    entry = make_server('x').entry
+    directory.apply(entry)
+    directory.apply(servers.msgspec.structs.replace(entry, state='leaving'))
+    directory.apply(entry)
+    assert directory.servers['x'].leaving
+
+
+# Roll-outs.
+
+
+def make_rollout(duration_s=24.0):
+    clock = Clock()
+    rollouts = canary.Rollouts(clock)
+    rollouts.order(canary.Order('s', 'v2', duration_s, 7))
+    return clock, rollouts, rollouts.by_service['s']
+
+
+def play(error_rate, seed, duration_s=24.0, instances=7, rate=41.0):
+    """Play a roll-out; return (phase, requests to new, bad ones, all)."""
+    draw = random.Random(seed)
+    worlds = [make_rollout(duration_s) for _ in range(instances)]
+    made = [make_server('old'), make_server('new', version='v2')]
+    log = []
+    read = [0] * instances
+    asked = to_new = bad = 0
+    now = 0.0
+    next_tick = [draw.uniform(0.5, 1.2) for _ in range(instances)]
+    while now < duration_s:
+        now += draw.expovariate(rate)
+        for clock, _, _ in worlds:
+            clock.time = now
+        number = draw.randrange(instances)
+        _, rollouts, rollout = worlds[number]
+        if rollout.phase is canary.Phase.RUNNING:
+            chosen = rollouts.select('s', made, f'{seed}-{draw.random()}')[0]
+            is_new = chosen.entry.version == 'v2'
+            failed = draw.random() < (error_rate if is_new else 0.004)
+            rollouts.note(chosen, 'error', failed)
+            asked += 1
+            to_new += is_new
+            bad += is_new and failed
+        for number, (_, rollouts, rollout) in enumerate(worlds):
+            if now < next_tick[number]:
+                continue
+            next_tick[number] = now + draw.uniform(0.7, 1.0)
+            for record in log[read[number] :]:
+                rollouts.accept(canary.decode(record))
+            read[number] = len(log)
+            step = rollout.decide(f'i{number}', now, True)
+            # Written only if nothing came since this instance read.
+            records = [step] if step else []
+            records.append(rollout.make_evidence(f'i{number}', now))
+            log.extend(canary.encode(record) for record in records)
+    phases = {rollout.phase for _, _, rollout in worlds}
+    assert len(phases) == 1
+    return phases.pop(), to_new, bad, asked
+
+
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('error_rate', [0.3, 0.5])
+def test_bad_version_is_rolled_back_within_the_bound(error_rate, seed):
+    phase, to_new, bad, asked = play(error_rate, seed)
+    assert phase is canary.Phase.ROLLED_BACK
+    assert to_new <= 0.15 * asked + 30
+    assert bad < 50
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_good_version_is_completed_in_time(seed):
+    phase, _, _, _ = play(0.004, seed)
+    assert phase is canary.Phase.COMPLETED
+
+
+def test_end_of_a_rollout_is_the_first_in_the_log():
+    _, rollouts, rollout = make_rollout()
+    for phase in (canary.Phase.ROLLED_BACK, canary.Phase.COMPLETED):
+        rollouts.accept(canary.Step(7, 's', 0, phase, 1.0))
+    assert rollout.phase is canary.Phase.ROLLED_BACK
+
+
+def test_rejected_version_gets_nothing_until_it_is_ordered_again():
+    clock, rollouts, _ = make_rollout()
+    made = [make_server('old'), make_server('new', version='v2')]
+    step = canary.Step(7, 's', 0, canary.Phase.ROLLED_BACK, 1.0)
+    rollouts.accept(step)
+    for number in range(50):
+        assert rollouts.select('s', made, f'{number}') == [made[0]]
+    rollouts.order(canary.Order('s', 'v2', 24.0, 9))
+    chosen = [rollouts.select('s', made, f'{n}')[0] for n in range(300)]
+    assert made[1] in chosen
+
+
+def test_start_in_the_middle_of_a_rollout_knows_its_age():
+    clock, rollouts, rollout = make_rollout()
+    clock.time = 1.0
+    rollouts.accept(canary.Step(7, 's', 1, canary.Phase.RUNNING, 14.0))
+    assert clock.time - rollout.started_at >= 13.0
+    assert rollout.share == canary.SHARES[1]
+
+
+# Settings.
+
+
+def test_settings_name_every_fault():
+    answer = settings.decode('node=x\nplatform.address=nowhere\n', 'f')
+    faults = answer.failure().faults
+    assert 'zone: required field is missing' in faults
+    assert 'platform.address: expected HOST:PORT' in faults
+
+
+def test_unknown_settings_are_ignored_and_bad_figures_are_not():
+    text = (
+        'node=n\nzone=a\nregion=r\nnew.field=1\nzones.a=r\n'
+        'listen.frontendAddress=1.2.3.4:5\nlisten.readiness=1.2.3.4:6\n'
+        'platform.address=1.2.3.4:7\nportRange=10,20\n'
+    )
+    found = settings.decode(text, 'f').unwrap()
+    assert found.store == settings.Address('1.2.3.4', 7)
+    faults = settings.decode(text + 'bounds.graceS=-1\n', 'f').failure().faults
+    assert len(faults) == 1
+    assert faults[0].startswith('bounds.graceS')
