Bound the log's lines, tell every decision, serve metrics as text

Change: choices, drops and ends of requests are lines of their own, at most 40 a second of one event (120 of failures), the rest counted; the metrics are rendered by prometheus-client from the one set of counters.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from arbutuschute import exposition
 from arbutuschute.ledgers import freshness
 from arbutuschute import logs
 from arbutuschute.machines import servers
@@ -42,7 +43,7 @@
 class Instance:
     """One process from start to stop."""
 
-    __slots__ = ('_ingress', '_log', '_path', '_runners', '_sessions',
+    __slots__ = ('_door', '_ingress', '_log', '_path', '_runners', '_sessions',
                  '_settings', '_stopping', '_tasks', '_timer',
                  'operator', 'parts', 'rollout_task',
                  'servers')  # fmt: skip
@@ -57,6 +58,7 @@
         self.parts = self._build_parts()
         self._build_followers(identity)
         self._ingress = ingress.Ingress(self.parts)
+        self._door = None
         self._runners = []
         self._tasks = []
         self._stopping = asyncio.Event()
@@ -136,6 +138,12 @@
             web.Server(self._answer_readiness, access_log=None),
             self._settings.readiness,
         )
+        await self._listen(
+            web.Server(self._answer_metrics, access_log=None),
+            settings_module.Address(
+                self._settings.readiness.host, self._settings.metrics_port
+            ),
+        )
         for follower in (self.operator, self.servers, self.rollout_task):
             self._start_task(follower.run())
         while self.parts.table is None or not self.servers.is_loaded:
@@ -151,7 +159,8 @@
         await runner.setup()
         site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
         await site.start()
-        self._runners.append((runner, site))
+        self._runners.append(runner)
+        return site
 
     def _start_task(self, coroutine):
         task = asyncio.ensure_future(coroutine)
@@ -169,6 +178,11 @@
         ready = self.parts.state == 'live' and self.parts.freshness.is_valid
         return web.Response(status=200 if ready else 503)
 
+    async def _answer_metrics(self, _):
+        """Give what was counted since the start, as text."""
+        self.parts.metrics.totals['in_flight'] = self.parts.in_flight
+        return web.Response(body=exposition.render(self.parts.metrics))
+
     def _reload(self):
         """Read the settings again; what is bound at start stays."""
         answer = settings_module.load(self._path)
@@ -183,9 +197,8 @@
         self._log.info('stopping', in_flight=parts.in_flight)
         end = began + self._settings.bounds.stop_s - EXIT_MARGIN_S
         await self._wait_until(lambda: False, began + LEAVE_S)
-        if len(self._runners) > 1:
-            _, site = self._runners[1]
-            await site.stop()
+        if self._door is not None:
+            await self._door.stop()
             self._ingress.close_idle()
         await self._wait_until(lambda: parts.in_flight == 0, end)
         self._log.info('stopped', cut=parts.in_flight)
@@ -196,7 +209,7 @@
         for task in self._tasks:
             task.remove_done_callback(self._notice_end)
             task.cancel()
-        for runner, _ in self._runners:
+        for runner in self._runners:
             await runner.cleanup()
         for session in self._sessions:
             await session.close()
--- a/arbutuschute/logs.py
+++ b/arbutuschute/logs.py
@@ -1,12 +1,20 @@
 """Structured logs: lines only for changes of state."""
 
+import collections
 import os
 import sys
+import time
 import traceback
 
 import loguru
 import msgspec
 
+# Lines of one event that a second may have; at today's load an instance
+# ends about ten requests a second.
+LINES_PER_S = 40
+FAILURE_LINES_PER_S = 120
+FAILURE_LEVEL = 30
+
 
 def _write_json(message):
     record = message.record
@@ -36,6 +44,39 @@
     return loguru.logger.bind(**facts)
 
 
+class Budget:
+    """Bounds the lines of each event in a second.
+
+    Failures have a larger part, so that under load they are kept longest.
+    What is left out is counted and told with the next line of its event.
+    """
+
+    __slots__ = ('_counts', '_now', '_second', 'left_out')
+
+    def __init__(self, now):
+        self._now = now
+        self._second = 0
+        self._counts = collections.Counter()
+        self.left_out = collections.Counter()
+
+    def admit(self, record):
+        """Tell whether a record is written; the filter of the logger."""
+        second = int(self._now())
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        place = record['message'], record['level'].no >= FAILURE_LEVEL
+        self._counts[place] += 1
+        most = FAILURE_LINES_PER_S if place[1] else LINES_PER_S
+        if self._counts[place] > most:
+            self.left_out[record['message']] += 1
+            return False
+        left_out = self.left_out.pop(record['message'], 0)
+        if left_out:
+            record['extra']['left_out'] = left_out
+        return True
+
+
 class LineWriter:
     """Writes lines to standard output and never waits for its reader.
 
@@ -64,6 +105,7 @@
     loguru.logger.add(
         lambda message: writer.write(_encode_line(message.record)),
         level=level,
+        filter=Budget(time.monotonic).admit,
     )
     return loguru.logger.bind(**facts)
 
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -181,7 +181,7 @@
         took_ms = 1000 * (parts.now() - request.received_at)
         route = request.route.name if request.route else ''
         parts.metrics.observe('total_ms', route, took_ms)
-        line = parts.log.info if status >= 400 else parts.log.debug
+        line = parts.log.warning if status >= 400 else parts.log.info
         line(
             'request ended',
             request=request.id,
--- a/arbutuschute/platform/settings.py
+++ b/arbutuschute/platform/settings.py
@@ -9,6 +9,8 @@
 
 PATH_VARIABLE = 'ARBUTUSCHUTE_SETTINGS'
 DEFAULT_PATH = '/etc/arbutuschute/node.conf'
+# The deploy file names the same port.
+METRICS_PORT = 9464
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -49,6 +51,7 @@
     regions_by_zone: dict[str, str]
     bounds: Bounds
     descriptors_most: int = 4096
+    metrics_port: int = METRICS_PORT
 
 
 def load(path):
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -114,7 +114,7 @@
         return
     if not sending.may_repeat(parts, request, errors.Ran.YES):
         return
-    parts.log.debug(
+    parts.log.info(
         'answer dropped',
         request=request.id,
         server=server.name,
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -25,18 +25,28 @@
     chosen = _choose_among(parts, request, usable or fresh)
     if chosen is None:
         raise errors.NoBackendServer(request.service).mark_ran(request.ran)
-    parts.log.debug(
+    parts.log.info(
         'server chosen',
         request=request.id,
         server=chosen.name,
+        service=request.service,
+        version=chosen.entry.version,
+        model=request.model,
+        attempt=request.attempts + 1,
         load=round(chosen.load.others + chosen.in_flight, 1),
-        load_age_ms=int(1000 * (now - max(chosen.heard_at, 0))),
+        load_age_ms=_find_age_ms(now, chosen.load.at),
+        foreseen_ms=int(1000 * chosen.waits.foresee(now)),
         listed=len(listed),
         usable=len(usable),
     )
     return chosen
 
 
+def _find_age_ms(now, at):
+    """Return how old a report is, None if there was none."""
+    return int(1000 * (now - at)) if at > float('-inf') else None
+
+
 def _choose_among(parts, request, servers):
     if not request.route.is_stream:
         return placement.choose(servers, parts.place, parts.random)
@@ -92,7 +102,7 @@
         parts.now(), pauses=isinstance(failure, PAUSING_FAILURES)
     )
     parts.metrics.count(f'attempts.{failure.code}')
-    parts.log.info(
+    parts.log.warning(
         'attempt failed',
         request=request.id,
         server=server.name,
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+import msgspec
 import pytest_asyncio
 import yarl
 
@@ -91,8 +92,13 @@
         self._ports['callers'] = find_free_port()
         self._ports['readiness'] = find_free_port()
         text = SETTINGS.format(**self._ports)
-        self.instance = instance.Instance(
+        chosen = msgspec.structs.replace(
             settings.decode(text, 'test').unwrap(),
+            metrics_port=find_free_port(),
+        )
+        self.metrics_url = f'http://{HOST}:{chosen.metrics_port}/metrics'
+        self.instance = instance.Instance(
+            chosen,
             'test',
             asyncio.get_running_loop(),
         )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -228,3 +228,12 @@
     for number in range(100):
         await ask(world, headers={'Arbutuschute-Attempt-Id': f'x{number}'})
     assert len(bad.seen) == arrived
+
+
+async def test_metrics_are_served_as_text(world):
+    await world.start()
+    assert await ask(world) == 200
+    async with world.http.get(world.metrics_url) as response:
+        text = await response.text()
+    assert 'arbutuschute_events_total{event="requests"} 1.0' in text
+    assert 'measure="total_ms"' in text
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,63 @@
+"""Lines of the log: bounded, and never waited for."""
+
+import json
+import os
+
+import loguru
+import pytest
+
+from arbutuschute import logs
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    loguru.logger.remove()
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader):
+    os.set_blocking(reader, False)
+    return [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+
+
+def test_lines_of_one_event_are_bounded_and_failures_kept_longer(pipe):
+    reader, writer = pipe
+    log = logs.make_line_logger(writer, instance='i')
+    for number in range(500):
+        log.info('usual', number=number)
+        log.warning('failed', number=number)
+    lines = read_lines(reader)
+    usual = [line for line in lines if line['event'] == 'usual']
+    failed = [line for line in lines if line['event'] == 'failed']
+    # The loop may run over the end of a second.
+    assert logs.LINES_PER_S <= len(usual) <= 2 * logs.LINES_PER_S
+    assert len(failed) >= logs.FAILURE_LINES_PER_S
+    assert usual[0]['instance'] == 'i'
+
+
+def test_a_reader_that_does_not_read_holds_nobody_up(pipe):
+    _, writer = pipe
+    os.set_blocking(writer, False)
+    line_writer = logs.LineWriter(writer)
+    for _ in range(3000):
+        line_writer.write(b'x' * 100 + b'\n')
+    assert line_writer.dropped > 0
+
+
+def test_what_was_left_out_is_told_with_the_next_line():
+    time = [0.0]
+    budget = logs.Budget(lambda: time[0])
+
+    def make():
+        level = type('Level', (), {'no': 20})
+        return {'message': 'm', 'level': level, 'extra': {}}
+
+    kept = [budget.admit(make()) for _ in range(logs.LINES_PER_S + 5)]
+    assert sum(kept) == logs.LINES_PER_S
+    time[0] = 1.0
+    record = make()
+    assert budget.admit(record)
+    assert record['extra'] == {'left_out': 5}
