--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -88,7 +88,7 @@
             server.hear_load(head.load, head.slowness, parts.now())
         request.note_ran(errors.Ran.UNKNOWN)
         if not head.is_success:
-            return await _read_failure(parts, server, attempt)
+            return await _read_failure(parts, server, stream, attempt)
         if not stream.is_started:
             _drop_if_unsure(parts, request, server, head)
         await _relay(parts, request, server, stream, attempt, began)
@@ -130,7 +130,12 @@
     raise _Dropped()
 
 
-async def _read_failure(parts, server, attempt):
+async def _read_failure(parts, server, stream, attempt):
+    """Return a whole failure; raise where events have gone out before."""
+    if stream.is_started:
+        raise errors.ServerFailed(
+            server.name, f'status {attempt.head.status} on resuming'
+        ).mark_ran(errors.Ran.YES)
     answer = await attempt.read_answer()
     if answer.head.is_failure:
         server.note_failure(parts.now(), pauses=False)
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -120,3 +120,29 @@
     await world.start([stall, stall])
     async with world.call('/stream/x', deadline_ms=5000) as response:
         assert await response.read() == make_events(4)
+
+
+async def test_failure_of_the_second_server_does_not_follow_events(world):
+    async def answer(engine, request, body):
+        if 'Last-Event-Id' in request.headers:
+            return await standin.answer_error(engine, request, body)
+        breaking = standin.make_stream(9, break_after=4, gap_s=0.01)
+        return await breaking(engine, request, body)
+
+    await world.start([answer, answer])
+    reader, writer = await world.connect()
+    writer.write(
+        b'POST /stream/x HTTP/1.1\r\nHost: a.example\r\n'
+        b'Arbutuschute-Attempt-Id: r-1\r\nContent-Length: 0\r\n'
+        b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n\r\n'
+    )
+    received = b''
+    try:
+        while chunk := await asyncio.wait_for(reader.read(4096), 5):
+            received += chunk
+    except ConnectionResetError:
+        pass
+    writer.close()
+    assert received.count(b'HTTP/1.1') == 1
+    assert b'broken' not in received
+    assert b'0\r\n\r\n' not in received
