End slow heads and bodies, take over changed settings, find restarted peers

Cause: a head could take for ever; settings were read once; and traced under four busy processes (1 of 8 runs of 'the keepers of an owner are replaced one after another' in tests/scenarios failed, 'never came: 1 bills'): the owner heard of a restarted keeper at once and sent what it should keep to the dead address for up to 1.25 s, until its next reading of the instance list; both keepers and the owner were killed within that time. Excluded: a lost settlement (no keeper ever had the entry: no ACK in the trace); 'the zone of an owner is lost', 8 of 8 passed under the same load. Change: limits of the configuration end slow heads and bodies with 408; the file is watched and read on SIGHUP; a restarted peer makes the owner read the instance list at once.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -133,9 +133,12 @@
         now = environment.timer.now()
         environment.membership.hear(heartbeat, now)
         environment.kept.hear((heartbeat.sender, heartbeat.incarnation), now)
-        environment.keeping.note_incarnation(
+        if environment.keeping.note_incarnation(
             heartbeat.sender, heartbeat.incarnation
-        )
+        ):
+            # It listens elsewhere now; until the list is read, what it is
+            # to keep would go to where its predecessor was.
+            self._spawn(self.listing.read())
         for report in heartbeat.reports:
             environment.fleet.accept_report(report, now)
         if (
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -204,6 +204,9 @@
     'HeadersTooLarge', 'headers-too-large', 'Request headers are too large',
     431, 'limit_bytes',
 )  # fmt: skip
+SlowBody = define(
+    'SlowBody', 'slow-body', 'Request body came too slowly', 408, 'limit_s'
+)
 ServerFailed = define(
     'ServerFailed', 'server-failed', 'Backend server did not answer', 502,
     'server', 'reason',
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -1,12 +1,15 @@
 """One instance on the users' platform: its composition root and life."""
 
 import asyncio
+import os
 import random
 import signal
 import time
 
 import aiohttp
 from aiohttp import web
+import msgspec
+from returns import result
 
 from arbutuschute import exposition
 from arbutuschute.ledgers import freshness
@@ -35,6 +38,8 @@
 # Kept back from the time that a stop may take.
 EXIT_MARGIN_S = 0.4
 CHECK_PERIOD_S = 0.05
+# The platform may change the settings without a signal.
+SETTINGS_PERIOD_S = 2.0
 BACKLOG = 512
 # What still runs when the time to stop has passed is cut off.
 SHUTDOWN_S = 0.1
@@ -75,9 +80,7 @@
             settings.zone, settings.region, settings.regions_by_zone
         )  # fmt: skip
         parts.directory = servers.Directory(now)
-        parts.freshness = freshness.Freshness(
-            now, settings.bounds.revoke_s - LEASE_MARGIN_S
-        )
+        parts.freshness = freshness.Freshness(now, _find_lease(settings))
         parts.repeats = repeats.Repeats(now, settings.bounds)
         parts.rollouts = canary.Rollouts(now)
         parts.models = sizes.Models()
@@ -146,6 +149,7 @@
         )
         for follower in (self.operator, self.servers, self.rollout_task):
             self._start_task(follower.run())
+        self._start_task(self._watch_settings())
         while self.parts.table is None or not self.servers.is_loaded:
             await self._timer.sleep(CHECK_PERIOD_S)
             if self._stopping.is_set():
@@ -184,9 +188,29 @@
         return web.Response(body=exposition.render(self.parts.metrics))
 
     def _reload(self):
-        """Read the settings again; what is bound at start stays."""
+        """Read the settings again; addresses stay as they were bound."""
         answer = settings_module.load(self._path)
-        self._log.info('settings read again', valid=bool(answer.value_or(0)))
+        if isinstance(answer, result.Failure):
+            self._log.error('settings', cause=answer.failure().detail)
+            return
+        settings = answer.unwrap()
+        changed = settings.bounds != self._settings.bounds
+        self._settings = msgspec.structs.replace(
+            self._settings, bounds=settings.bounds
+        )
+        self.parts.freshness.lease_s = _find_lease(settings)
+        self.parts.repeats.set_bounds(settings.bounds)
+        self._log.info('settings read again', changed=changed)
+
+    async def _watch_settings(self):
+        """Read the settings again when their file changes unannounced."""
+        known = _find_age(self._path)
+        while True:
+            await self._timer.sleep(SETTINGS_PERIOD_S)
+            found = _find_age(self._path)
+            if found != known:
+                known = found
+                self._reload()
 
     async def _stop(self):
         """Leave the rotation, finish what was begun, go."""
@@ -219,6 +243,20 @@
             await self._timer.sleep(CHECK_PERIOD_S)
 
 
+def _find_lease(settings):
+    """Return seconds for which a proof of being current holds."""
+    return settings.bounds.revoke_s - LEASE_MARGIN_S
+
+
+def _find_age(path):
+    """Return what changes when a file does, None if it isn't there."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_ino, found.st_size
+
+
 def _make_store_session():
     return aiohttp.ClientSession(
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/arbutuschute/ledgers/keeping.py
+++ b/arbutuschute/ledgers/keeping.py
@@ -201,13 +201,18 @@
         self._flush(keeper_name, keeper)
 
     def note_incarnation(self, keeper_name, incarnation):
-        """Hand everything over again to a keeper that has restarted."""
+        """Hand everything over again to a keeper that has restarted.
+
+        Tell whether it has.
+        """
         keeper = self._keepers.get(keeper_name)
         if keeper is None or incarnation <= keeper.incarnation:
-            return
-        if keeper.incarnation:
+            return False
+        has_restarted = bool(keeper.incarnation)
+        if has_restarted:
             keeper.entries.update(self._unsettled)
         keeper.incarnation = incarnation
+        return has_restarted
 
     def check(self):
         """Let no request wait for ever on a keeper that is silent."""
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -18,6 +18,10 @@
 # Callers wait at most a third of the time they have left.
 RETRY_AFTER_SHARE = 0.3
 PROMISE_STATUSES = (408, 421, 429, 503)
+SLOW_HEAD_ANSWER = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
 # Status that promises nothing, for what may have run.
 UNKNOWN_STATUS = 502
 
@@ -72,6 +76,58 @@
             self.response.force_close()
 
 
+class _Connection(web.RequestHandler):
+    """A caller's connection; a head that comes too slowly ends it."""
+
+    __slots__ = ('_head_timer', 'head_limit_s')
+
+    def __init__(self, *values, **options):
+        super().__init__(*values, **options)
+        self._head_timer = None
+        self.head_limit_s = 0.0
+
+    def data_received(self, data):
+        """Start the time of a head with its first bytes."""
+        if self._head_timer is None and self._current_request is None:
+            loop = asyncio.get_running_loop()
+            self._head_timer = loop.call_later(
+                self.head_limit_s, self._end_slow_head
+            )
+        super().data_received(data)
+
+    def connection_lost(self, exc):
+        """Forget the head's time with the connection."""
+        self.end_head()
+        super().connection_lost(exc)
+
+    def end_head(self):
+        """Note that the head is whole."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _end_slow_head(self):
+        if self.transport is not None:
+            self.transport.write(SLOW_HEAD_ANSWER)
+            self.transport.close()
+
+
+class _Server(web.Server):
+    """Makes connections that know how long a head may take."""
+
+    def __init__(self, handler, find_limits, **options):
+        super().__init__(handler, **options)
+        self._find_limits = find_limits
+
+    def __call__(self):
+        """Return the protocol of a new connection."""
+        limits = self._find_limits()
+        self._kwargs['keepalive_timeout'] = limits.idle_s
+        made = _Connection(self, loop=self._loop, **self._kwargs)
+        made.head_limit_s = limits.header_s
+        return made
+
+
 class Ingress:
     """Takes requests from callers for one instance."""
 
@@ -84,13 +140,13 @@
 
     def make_server(self):
         """Return the aiohttp server; a caller that leaves ends its work."""
-        self._server = web.Server(
+        self._server = _Server(
             self._handle,
+            lambda: self._parts.table.limits,
             request_factory=_make_request,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
-            keepalive_timeout=self._parts.table.limits.idle_s,
             max_line_size=LINE_BYTES_MOST,
             max_field_size=LINE_BYTES_MOST,
         )
@@ -106,6 +162,7 @@
 
     async def _handle(self, raw):
         connection = raw.protocol
+        connection.end_head()
         self._active.add(connection)
         try:
             return await self._answer(raw)
@@ -292,7 +349,7 @@
     chunks = []
     size = 0
     try:
-        while chunk := await raw.content.readany():
+        while chunk := await _read_chunk(raw, limits.header_s):
             size += len(chunk)
             if size > limits.body_bytes:
                 raise errors.BodyTooLarge(limits.body_bytes)
@@ -300,3 +357,12 @@
     except (aiohttp.ClientError, web.HTTPException):
         raise errors.BrokenBody('body could not be read') from None
     return b''.join(chunks)
+
+
+async def _read_chunk(raw, limit_s):
+    """Return a part of a body; raise ``SlowBody`` if none comes in time."""
+    try:
+        async with asyncio.timeout(limit_s):
+            return await raw.content.readany()
+    except TimeoutError:
+        raise errors.SlowBody(limit_s) from None
--- a/arbutuschute/policy/repeats.py
+++ b/arbutuschute/policy/repeats.py
@@ -20,10 +20,14 @@
 
     def __init__(self, now, bounds):
         self._now = now
+        self._events = {}
+        self.set_bounds(bounds)
+
+    def set_bounds(self, bounds):
+        """Take over the deployment's bounds, at the start or changed."""
         self._window_s = bounds.repeat_window_s
         self._allowed = bounds.repeat_share * USED_SHARE
         self._floor = bounds.repeat_slack / SLACK_PARTS
-        self._events = {}
 
     def note_request(self, service):
         """Count a caller's request."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -73,7 +73,8 @@
 class World:
     """The stand-in, one instance and a caller."""
 
-    def __init__(self):
+    def __init__(self, folder):
+        self.settings_path = folder / 'node.conf'
         self.store = standin.Store()
         self.engines = {}
         self.instance = None
@@ -91,7 +92,8 @@
         self.store.put('keyed.op', 'config', make_configuration(1))
         self._ports['callers'] = find_free_port()
         self._ports['readiness'] = find_free_port()
-        text = SETTINGS.format(**self._ports)
+        text = self.settings_text = SETTINGS.format(**self._ports)
+        self.settings_path.write_text(text)
         chosen = msgspec.structs.replace(
             settings.decode(text, 'test').unwrap(),
             metrics_port=find_free_port(),
@@ -99,7 +101,7 @@
         self.metrics_url = f'http://{HOST}:{chosen.metrics_port}/metrics'
         self.instance = instance.Instance(
             chosen,
-            'test',
+            str(self.settings_path),
             asyncio.get_running_loop(),
         )
         self.running = asyncio.ensure_future(self.instance.run())
@@ -192,8 +194,8 @@
 
 
 @pytest_asyncio.fixture
-async def world():
-    made = World()
+async def world(tmp_path):
+    made = World(tmp_path)
     try:
         yield made
     finally:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -202,3 +202,37 @@
     async with world.call('/once/x') as response:
         assert response.status == 503
     assert world.engines['i-0'].running == 0
+
+
+async def test_slow_head_is_ended_and_nobody_else(world):
+    await world.start()
+    reader, writer = await world.connect()
+    writer.write(b'POST /again/x HTTP/1.1\r\nHost: a.exam')
+    async with world.call('/again/x') as response:
+        assert response.status == 200
+    answer = await asyncio.wait_for(reader.read(), 5)
+    assert answer.startswith(b'HTTP/1.1 408')
+    writer.close()
+
+
+async def test_slow_body_is_refused(world):
+    await world.start()
+    reader, writer = await world.connect()
+    writer.write(
+        b'POST /once/x HTTP/1.1\r\nHost: a.example\r\n'
+        b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
+        b'Content-Length: 10\r\n\r\nhalf'
+    )
+    answer = await asyncio.wait_for(reader.read(100), 5)
+    assert answer.startswith(b'HTTP/1.1 408')
+    writer.close()
+    assert world.count_arrivals() == 0
+
+
+async def test_idle_connection_is_kept_for_the_next_request(world):
+    await world.start()
+    async with world.call('/again/x') as response:
+        await response.read()
+    await asyncio.sleep(1.5)  # Longer than a head may take.
+    async with world.call('/again/x') as response:
+        assert response.status == 200
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from arbutuschute import instance
 from arbutuschute.platform import followers
 from tests.platform import conftest
 from tests.platform import standin
@@ -237,3 +238,18 @@
         text = await response.text()
     assert 'arbutuschute_events_total{event="requests"} 1.0' in text
     assert 'measure="total_ms"' in text
+
+
+async def test_changed_settings_are_in_force_without_a_signal(world):
+    await world.start()
+    text = world.settings_text
+    path = world.settings_path
+    parts = world.instance.parts
+    before = parts.freshness.lease_s
+    await asyncio.sleep(instance.SETTINGS_PERIOD_S + 0.2)
+    assert parts.freshness.lease_s == before
+    path.write_text(text.replace('revokeMs=1800', 'revokeMs=2800'))
+    await conftest.wait_for(lambda: parts.freshness.lease_s > before)
+    path.write_text('node=only\n')
+    await asyncio.sleep(instance.SETTINGS_PERIOD_S + 0.2)
+    assert parts.freshness.lease_s > before
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -150,3 +150,12 @@
     bench.owner.refresh()
     assert bench.find_held('a') == {}
     assert bench.owner.unsettled == 0
+
+
+async def test_a_restart_is_told_once_so_that_its_address_is_read():
+    bench = Bench(['a', 'b'])
+    await bench.owner.open(make_bill())
+    assert not bench.owner.note_incarnation('a', 1)
+    assert bench.owner.note_incarnation('a', 2)
+    assert not bench.owner.note_incarnation('a', 2)
+    assert not bench.owner.note_incarnation('unknown', 5)
