--- a/arbutuschute/exposition.py
+++ b/arbutuschute/exposition.py
@@ -29,7 +29,7 @@
             labels=['measure', 'label', 'quantile'],
         )
         for key, summary in self._metrics.summarize().items():
-            measure, _, label = key.partition('.')
+            measure, _, label = key.rpartition('.')
             for name, value in summary.items():
                 if name.startswith('p'):
                     durations.add_sample(
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -237,7 +237,11 @@
         parts = self._parts
         took_ms = 1000 * (parts.now() - request.received_at)
         route = request.route.name if request.route else ''
-        parts.metrics.observe('total_ms', route, took_ms)
+        parts.metrics.observe('total_ms.route', route, took_ms)
+        if request.organisation is not None:
+            parts.metrics.observe(
+                'total_ms.organisation', request.organisation.name, took_ms
+            )
         line = parts.log.warning if status >= 400 else parts.log.info
         line(
             'request ended',
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -237,7 +237,7 @@
     async with world.http.get(world.metrics_url) as response:
         text = await response.text()
     assert 'arbutuschute_events_total{event="requests"} 1.0' in text
-    assert 'measure="total_ms"' in text
+    assert 'label="dispatch",measure="total_ms.organisation"' in text
 
 
 async def test_changed_settings_are_in_force_without_a_signal(world):
