Let sessions keep their version while a roll-out begins and steps

The caller's session (Session header) was not used, and instances hear of new servers and of steps up to 1.4 s apart; 79 of 93 pairs of a live session's requests reach different instances, so some went to and fro. Excluded: retries (none in the trace); roll-backs. Change: the session decides; a roll-out begins 3 s after its order and a step counts 1.6 s after it was written, at every instance alike; two steps in place of three keep the end in time.

--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -300,6 +300,7 @@
         request.deadline_at = received_at + deadline_ms / 1000
     request.last_event_id = headers.get(names.LAST_EVENT_ID)
     request.prompt = _read_prompt(headers)
+    request.session = headers.get(names.SESSION, request.id)
     request.headers = _select_headers(headers)
     request.body = await _read_body(raw, table.limits)
     return request
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -58,7 +58,7 @@
                 service=found.service,
                 version=rollout.order.version,
                 number=rollout.number,
-                share=rollout.share,
+                share=canary.SHARES[rollout.number],
                 phase=rollout.phase.value,
                 offset=record.offset,
             )
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -12,12 +12,19 @@
 from arbutuschute.policy import guard
 from arbutuschute.zones import rendezvous
 
-# Share of requests that each step sends to the new version. The first stays
-# below the bound of exposure (0.0975 and more); 1.0 before the end is full.
-SHARES = (0.07, 0.3, 0.65, 1.0)
+# Share of sessions that each step sends to the new version. The first stays
+# below the bound of exposure (0.0975 and more).
+SHARES = (0.06, 0.4, 1.0)
+# Servers of the new version start with the order; by then every instance has
+# heard of them, so that all begin together and no session goes to and fro.
+BEGIN_AFTER_S = 3.0
+BEGIN_SHARE_MOST = 0.2
+# A step takes effect when every instance has read it, a reading being due
+# every 1.2 s.
+EFFECT_DELAY_S = 1.6
 # Part of the roll-out's time after which sessions may move over.
-RAMP_FROM = 0.52
-# Part of the roll-out's time between two steps while it ramps up.
+RAMP_FROM = 0.5
+# Part of the roll-out's time that a step has to show a fault.
 STEP_TIME = 0.07
 # Part of the roll-out's time by which it is completed or rolled back.
 END_BY = 0.9
@@ -109,13 +116,17 @@
         self._own = {'new': guard.Counters(), 'old': guard.Counters()}
         self._evidence = {}
 
-    @property
-    def share(self):
-        """Share of requests that go to the new version now."""
+    def find_share(self, now):
+        """Return the share of sessions that the new version gets now."""
         if self.phase is Phase.ROLLED_BACK:
             return 0.0
         if self.phase is Phase.COMPLETED:
             return 1.0
+        begin_s = min(BEGIN_AFTER_S, BEGIN_SHARE_MOST * self.order.duration_s)
+        if now - self.started_at < begin_s:
+            return 0.0
+        if now < self.stepped_at:
+            return SHARES[max(0, self.number - 1)]
         return SHARES[self.number]
 
     def accept(self, record, now):
@@ -131,7 +142,9 @@
         self.ended_at = now
         if record.number > self.number:
             self.number = record.number
-            self.stepped_at = now
+            self.stepped_at = (
+                self.started_at + record.elapsed_s + EFFECT_DELAY_S
+            )
 
     def note(self, version, signal, failed):
         """Count one outcome that this instance saw."""
@@ -257,7 +270,7 @@
             return usable
         version = rollout.order.version
         point = rendezvous.place(f'{service}/{version}/{key}')
-        wants_new = point < rollout.share
+        wants_new = point < rollout.find_share(self._now())
         chosen = [
             server
             for server in usable
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -51,6 +51,7 @@
         'received_at',
         'route',
         'service',
+        'session',
         'target',
         'version',
     )
@@ -72,17 +73,14 @@
         self.organisation = None
         self.route = None
         self.service = None
+        # What keeps its version: the caller's session, or the request.
+        self.session = request_id
         self.version = 0
         self.attempts = 0
         # Whether an attempt is out of which nothing is known yet.
         self.is_out = False
         self.ran = errors.Ran.NO
 
-    @property
-    def affinity(self):
-        """What the request shares with others; its own id otherwise."""
-        return self.prompt.shared or self.id
-
     @property
     def known_ran(self):
         """Whether the request has run, as far as can be known now."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -19,7 +19,7 @@
     untried = [server for server in live if server.name not in tried]
     if not untried and request.route.is_stream:
         untried = live  # What broke once may go on where it broke.
-    fresh = parts.rollouts.select(request.service, untried, request.affinity)
+    fresh = parts.rollouts.select(request.service, untried, request.session)
     usable = [server for server in fresh if server.is_open(now)]
     # Where all are paused, the least bad is better than none.
     chosen = _choose_among(parts, request, usable or fresh)
