Refuse requests without one id; divide the fixed repeats among 100

Change: 400 with the header's name; the fixed part is divided by 100. Figures: tests (the budget's property now up to 100 instances).

--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -287,7 +287,7 @@
     headers = raw.headers
     _check_header_size(raw, table.limits)
     request = requests.Request(
-        headers.get(names.REQUEST_ID, ''),
+        _read_id(headers),
         raw.method,
         raw.raw_path,
         headers.get('Host', ''),
@@ -306,6 +306,14 @@
     return request
 
 
+def _read_id(headers):
+    """Return the one id of a request; an answer is known by it."""
+    given = headers.getall(names.REQUEST_ID, [])
+    if len(given) != 1 or not given[0].strip():
+        raise errors.BrokenHeader(names.REQUEST_ID, 'one id')
+    return given[0]
+
+
 def _check_header_size(raw, limits):
     size = sum(len(name) + len(value) + 4 for name, value in raw.raw_headers)
     if size + len(raw.raw_path) > limits.header_bytes:
--- a/arbutuschute/policy/repeats.py
+++ b/arbutuschute/policy/repeats.py
@@ -10,7 +10,7 @@
 # were counted in different windows.
 USED_SHARE = 0.85
 # Instances among which the fixed part is divided; more would start at 0.
-SLACK_PARTS = 40.0
+SLACK_PARTS = 100.0
 
 
 class Repeats:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -57,6 +57,8 @@
         ('/again/x', {'X-Long': 'x' * 5000}, 431),
         ('/again/x', {'Arbutuschute-Deadline-Ms': 'soon'}, 400),
         ('/again/x', {'Arbutuschute-Prompt-Prefix': 'a:b'}, 400),
+        ('/again/x', {'Arbutuschute-Attempt-Id': None}, 400),
+        ('/again/x', {'Arbutuschute-Attempt-Id': ' '}, 400),
     ],
 )
 async def test_bad_input_is_refused_and_not_passed_on(
@@ -85,6 +87,7 @@
     writer.write(
         b'POST /again/x HTTP/1.1\r\nHost: a.example\r\n'
         b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
+        b'Arbutuschute-Attempt-Id: r-1\r\n'
         b'Transfer-Encoding: chunked\r\n\r\nnot a size\r\n'
     )
     answer = await asyncio.wait_for(reader.read(200), 5)
@@ -221,6 +224,7 @@
     writer.write(
         b'POST /once/x HTTP/1.1\r\nHost: a.example\r\n'
         b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
+        b'Arbutuschute-Attempt-Id: r-1\r\n'
         b'Content-Length: 10\r\n\r\nhalf'
     )
     answer = await asyncio.wait_for(reader.read(100), 5)
@@ -236,3 +240,18 @@
     await asyncio.sleep(1.5)  # Longer than a head may take.
     async with world.call('/again/x') as response:
         assert response.status == 200
+
+
+async def test_two_ids_are_no_request(world):
+    await world.start()
+    reader, writer = await world.connect()
+    writer.write(
+        b'POST /once/x HTTP/1.1\r\nHost: a.example\r\n'
+        b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
+        b'Arbutuschute-Attempt-Id: r-1\r\nArbutuschute-Attempt-Id: r-2\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    answer = await asyncio.wait_for(reader.read(200), 5)
+    assert b' 400 ' in answer.splitlines()[0]
+    writer.close()
+    assert world.count_arrivals() == 0
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -128,10 +128,10 @@
 
 
 @given(
-    instances=strategies.integers(1, 40),
+    instances=strategies.integers(1, 100),
     arrivals=strategies.lists(
         strategies.tuples(
-            strategies.integers(0, 39), strategies.floats(0, 0.3)
+            strategies.integers(0, 99), strategies.floats(0, 0.3)
         ),
         max_size=300,
     ),
