Check the lease and the servers' view over scripted stores

Cause: what an instance believes of the store was tested on single faults. Change: property tests without a network: each reading takes, loses or fails as scripted; a revoked key is never taken after its bound, and servers are those of the log once the store answers.

--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,181 @@
+"""What an instance believes of the store, over delays, losses and outages.
+
+No network: the store is a script of how long each reading takes and
+whether it fails; time moves only while something waits.
+"""
+
+import asyncio
+import contextlib
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from returns import result
+
+from arbutuschute import errors
+from arbutuschute.ledgers import freshness
+from arbutuschute.machines import servers
+from arbutuschute.platform import configuration
+from arbutuschute.platform import directory
+from arbutuschute.platform import followers
+from arbutuschute.platform import store
+
+REVOKE_S = 5.0
+LEASE_S = 4.4
+
+
+class Timer:
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+    async def sleep(self, seconds):
+        self.time += seconds
+
+
+class Log:
+    def __getattr__(self, _):
+        return lambda *_, **__: None
+
+
+class ScriptedStore:
+    """One topic, whose records appear at given times.
+
+    Each step is (seconds a reading is under way, part of it after which
+    the store looks, whether it fails).
+    """
+
+    def __init__(self, timer, steps, records):
+        self._timer = timer
+        self._steps = iter(steps)
+        self._records = records
+        self.first = 0
+
+    def _look(self, asked_at, wait_s, start):
+        try:
+            delay_s, part, fails = next(self._steps)
+        except StopIteration:
+            raise asyncio.CancelledError from None
+        looked_at = asked_at + delay_s * part
+        seen = [raw for at, raw in self._records if at <= looked_at]
+        if len(seen) <= start and wait_s:
+            later = [at for at, _ in self._records if at > looked_at]
+            until = min([looked_at + wait_s, *later])
+            seen = [raw for at, raw in self._records if at <= until]
+            looked_at = until
+        self._timer.time = looked_at + delay_s * (1 - part)
+        return None if fails else seen
+
+    async def read_newest(self, topic):
+        seen = self._look(self._timer.now(), 0.0, 0)
+        if seen is None:
+            return result.Failure(errors.StoreDown('script'))
+        newest = {}
+        for offset, raw in enumerate(seen):
+            record = store.split_keyed(raw, offset)
+            newest[record.key] = record
+        return result.Success((list(newest.values()), len(seen)))
+
+    async def read(self, topic, start, wait_s=0.0):
+        if start < self.first:
+            return result.Failure(errors.StoreGap(topic))
+        seen = self._look(self._timer.now(), wait_s, start)
+        if seen is None:
+            return result.Failure(errors.StoreDown('script'))
+        return result.Success(
+            store.Page(len(seen), 0, start, tuple(seen[start:]))
+        )
+
+
+def make_record(key, value):
+    raw = json.dumps(value).encode() if value is not None else b''
+    return bytes((len(key),)) + key.encode() + raw
+
+
+def make_table(version, keys):
+    return make_record(
+        configuration.CONFIGURATION_KEY,
+        {
+            'version': version,
+            'routes': [],
+            'tenants': [{'name': 'o', 'apiKeys': keys}],
+        },
+    )
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0.0, 1.5),
+        strategies.floats(0.0, 1.0),
+        strategies.booleans(),
+    ),
+    min_size=1,
+    max_size=40,
+)
+
+
+def follow(steps, revoked_at):
+    """Follow the operator's records; return (newest version, lease)."""
+    timer = Timer()
+    lease = freshness.Freshness(timer.now, LEASE_S)
+    tables = []
+    scripted = ScriptedStore(
+        timer,
+        [(0.0, 0.0, False), *steps],
+        [(0.0, make_table(1, ['k'])), (revoked_at, make_table(2, []))],
+    )
+    follower = followers.OperatorFollower(
+        scripted, timer, Log(), lease, tables.append, lambda _: None
+    )
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(follower.run())
+    return tables[-1].version, lease
+
+
+@settings(max_examples=40, deadline=None)
+@given(steps=STEPS, slow_s=strategies.floats(0.7, 1.5))
+def test_revoked_key_is_never_taken_after_its_bound(steps, slow_s):
+    """Whatever the store does, an old configuration is not used too long.
+
+    The key goes at each of many moments; after a last slow answer the
+    store says nothing more.
+    """
+    steps = [*steps[:8], (slow_s, 0.0, False)]
+    for moment in range(60):
+        revoked_at = 0.01 + 0.25 * moment
+        version, lease = follow(steps, revoked_at)
+        if version == 1:
+            assert lease.proven_at + LEASE_S <= revoked_at + REVOKE_S
+
+
+@settings(max_examples=200)
+@given(steps=STEPS, gone_at=strategies.floats(0.5, 10.0))
+def test_servers_are_those_of_the_log_once_it_answers(steps, gone_at):
+    timer = Timer()
+    made = servers.Directory(timer.now)
+    entry = {
+        'service': 's', 'address': '10.0.0.1:1', 'zone': 'a',
+        'version': 'v1', 'slots': 4, 'state': 'ready', 'sequence': 1,
+    }  # fmt: skip
+    records = [
+        (0.0, make_record('i-1', entry)),
+        (0.0, make_record('i-2', entry)),
+        (gone_at, make_record('i-1', None)),
+    ]
+    # In the end the store answers for long enough.
+    healthy = [(0.01, 0.5, False)] * 12
+    scripted = ScriptedStore(timer, [*steps, *healthy], records)
+    follower = followers.ServerFollower(scripted, timer, Log(), made, 2.5)
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(follower.run())
+    assert set(made.servers) == {'i-2'}
+
+
+@given(raw=strategies.binary(max_size=200))
+def test_any_bytes_of_another_writer_name_no_server(raw):
+    found = directory.decode_entry('i-1', raw)
+    assert found is None or found.service
+    store.split_keyed(raw, 0)
