--- a/conftest.py
+++ b/conftest.py
@@ -4,5 +4,6 @@
     'tests.scenarios.stage',
     'tests.scenarios.given_steps',
     'tests.scenarios.when_steps',
+    'tests.scenarios.session_steps',
     'tests.scenarios.then_steps',
 ]
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -3,7 +3,6 @@
 import asyncio
 import atexit
 import contextlib
-import hashlib
 import json
 import os
 import pathlib
@@ -15,10 +14,11 @@
 import aiohttp
 
 from arbutuschute.standin import world
+from tests import documents
 
 WAIT_S = 20.0
 POLL_S = 0.03
-KEY = 'test-key'
+KEY = documents.KEY
 REGION = 'qc-sud'
 ROUTER_MODULE = os.environ.get(
     'ARBUTUSCHUTE_ROUTER_MODULE', 'arbutuschute.cli.router'
@@ -299,7 +299,9 @@
 
     async def publish_basics(self, *profiles):
         """Publish one organisation and profiles that it may use."""
-        code, out, err = await self.publish(make_organisation(), *profiles)
+        code, out, err = await self.publish(
+            documents.make_organisation(), *profiles
+        )
         assert code == 0, out + err
         return json.loads(out)
 
@@ -374,32 +376,3 @@
     def is_whole(self):
         """Whether a streamed answer came to its end marker."""
         return self.body.endswith(b'data: [DONE]\n\n')
-
-
-def make_organisation(name='ventilex', key=KEY, **more):
-    key_hash = hashlib.sha256(key.encode()).hexdigest()
-    return {'name': name, 'key_hash': key_hash, **more}
-
-
-def make_profile(name='reports', versions=('rapport:1',), **more):
-    listed = [
-        {'model': v.split(':')[0], 'version': v.split(':')[1], 'cost': 1.0}
-        for v in versions
-    ]
-    return {
-        'name': name,
-        'organisations': ['ventilex'],
-        'versions': listed,
-        **more,
-    }
-
-
-def make_booking(name='visits', service='booking', **more):
-    return {
-        'name': name,
-        'organisations': ['ventilex'],
-        'service': service,
-        'service_cost': 0.05,
-        'idempotent': False,
-        **more,
-    }
--- a/tests/scenarios/given_steps.py
+++ b/tests/scenarios/given_steps.py
@@ -6,7 +6,7 @@
 from pytest_bdd import given
 from pytest_bdd import parsers
 
-from tests import deployment
+from tests import documents
 from tests.scenarios import stage
 
 
@@ -37,13 +37,13 @@
 
 @given(parsers.parse('a profile "{name}" for the service "{service}"'))
 def publish_service_profile(world, name, service):
-    profile = deployment.make_booking(name, service)
+    profile = documents.make_booking(name, service)
     world.run(world.deployed.publish_basics(profile))
 
 
 @given(parsers.parse('a profile "{name}" with versions "{versions}"'))
 def publish_profile(world, name, versions):
-    profile = deployment.make_profile(name, stage.split(versions))
+    profile = documents.make_profile(name, stage.split(versions))
     world.run(world.deployed.publish_basics(profile))
 
 
@@ -62,7 +62,7 @@
         'steps': [float(step) for step in stage.split(steps)],
         'step_s': 3600.0,
     }
-    profile = deployment.make_profile(name, (old, new), replacements=[rule])
+    profile = documents.make_profile(name, (old, new), replacements=[rule])
     world.run(world.deployed.publish_basics(profile))
 
 
@@ -72,7 +72,7 @@
     )
 )
 def publish_cascade(world, name, cheap, dear):
-    profile = deployment.make_profile(
+    profile = documents.make_profile(
         name,
         (cheap, dear),
         cascade={
@@ -173,7 +173,7 @@
 
 def make_reports(versions):
     """Return the profile document of a later publication."""
-    return deployment.make_profile('reports', stage.split(versions))
+    return documents.make_profile('reports', stage.split(versions))
 
 
 def read_revision(world, name='reports'):
--- /dev/null
+++ b/tests/test_canary.py
@@ -0,0 +1,156 @@
+"""Roll-outs on seven instances that hear of one another through a log."""
+
+import random
+
+import pytest
+
+from arbutuschute.machines import servers
+from arbutuschute.policy import canary
+
+
+class Clock:
+    def __init__(self):
+        self.time = 0.0
+
+    def __call__(self):
+        return self.time
+
+
+def make_server(name, version='v1'):
+    entry = servers.Entry(
+        name, 's', f'10.0.0.1:{len(name)}', 'a', version, 8, 'live'
+    )
+    return servers.Server(entry)
+
+
+def make_rollout(duration_s=24.0):
+    clock = Clock()
+    rollouts = canary.Rollouts(clock)
+    rollouts.order(canary.Order('s', 'v2', duration_s, 7))
+    return clock, rollouts, rollouts.by_service['s']
+
+
+def play(error_rate, seed, duration_s=24.0, instances=7, rate=41.0):
+    """Play a roll-out; return (phase, requests to new, bad ones, all)."""
+    draw = random.Random(seed)
+    worlds = [make_rollout(duration_s) for _ in range(instances)]
+    made = [make_server('old'), make_server('new', version='v2')]
+    log = []
+    read = [0] * instances
+    asked = to_new = bad = 0
+    now = 0.0
+    next_tick = [draw.uniform(0.5, 1.2) for _ in range(instances)]
+    while now < duration_s:
+        now += draw.expovariate(rate)
+        for clock, _, _ in worlds:
+            clock.time = now
+        number = draw.randrange(instances)
+        _, rollouts, rollout = worlds[number]
+        if rollout.phase is canary.Phase.RUNNING:
+            chosen = rollouts.select('s', made, f'{seed}-{draw.random()}')[0]
+            is_new = chosen.entry.version == 'v2'
+            failed = draw.random() < (error_rate if is_new else 0.004)
+            rollouts.note(chosen, 'error', failed)
+            asked += 1
+            to_new += is_new
+            bad += is_new and failed
+        for number, (_, rollouts, rollout) in enumerate(worlds):
+            if now < next_tick[number]:
+                continue
+            next_tick[number] = now + draw.uniform(0.7, 1.0)
+            for record in log[read[number] :]:
+                rollouts.accept(canary.decode(record))
+            read[number] = len(log)
+            step = rollout.decide(f'i{number}', now, True)
+            # Written only if nothing came since this instance read.
+            records = [step] if step else []
+            records.append(rollout.make_evidence(f'i{number}', now))
+            log.extend(canary.encode(record) for record in records)
+    phases = {rollout.phase for _, _, rollout in worlds}
+    assert len(phases) == 1
+    return phases.pop(), to_new, bad, asked
+
+
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('error_rate', [0.3, 0.5])
+def test_bad_version_is_rolled_back_within_the_bound(error_rate, seed):
+    phase, to_new, bad, asked = play(error_rate, seed)
+    assert phase is canary.Phase.ROLLED_BACK
+    assert to_new <= 0.15 * asked + 30
+    assert bad < 50
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_good_version_is_completed_in_time(seed):
+    phase, _, _, _ = play(0.004, seed)
+    assert phase is canary.Phase.COMPLETED
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_session_on_several_instances_stays_on_its_version(seed):
+    """Instances hear of servers and of steps up to 1.4 s apart."""
+    draw = random.Random(seed)
+    duration_s = 24.0
+    worlds = [make_rollout(duration_s) for _ in range(7)]
+    old, new = make_server('old'), make_server('new', version='v2')
+    listed_at = [draw.uniform(0.3, 2.4) for _ in worlds]
+    log = []
+    read = [0] * len(worlds)
+    next_tick = [draw.uniform(0.1, 1.3) for _ in worlds]
+    seen = {}
+    moved_back = moved_early = 0
+    now = 0.0
+    while now < duration_s:
+        now += draw.expovariate(41.0)
+        for number, (clock, rollouts, rollout) in enumerate(worlds):
+            clock.time = now
+            if now >= next_tick[number]:
+                next_tick[number] = now + draw.uniform(1.0, 1.4)
+                for record in log[read[number] :]:
+                    rollouts.accept(canary.decode(record))
+                step = rollout.decide(f'i{number}', now, True)
+                evidence = rollout.make_evidence(f'i{number}', now)
+                read[number] = len(log)
+                log += [canary.encode(r) for r in (step, evidence) if r]
+        number = draw.randrange(len(worlds))
+        _, rollouts, _ = worlds[number]
+        session = str(int(now / 2.0) * 30 + draw.randrange(30))
+        made = [old, new] if now >= listed_at[number] else [old]
+        chosen = rollouts.select('s', made, session)[0]
+        rollouts.note(chosen, 'error', False)
+        before = seen.get(session)
+        moved_back += before == 'v2' and chosen is old
+        moved_early += before == 'v1' and chosen is new and now < 12.0
+        seen[session] = chosen.entry.version
+    assert moved_back == 0
+    assert moved_early <= 3
+
+
+def test_end_of_a_rollout_is_the_first_in_the_log():
+    _, rollouts, rollout = make_rollout()
+    for phase in (canary.Phase.ROLLED_BACK, canary.Phase.COMPLETED):
+        rollouts.accept(canary.Step(7, 's', 0, phase, 1.0))
+    assert rollout.phase is canary.Phase.ROLLED_BACK
+
+
+def test_rejected_version_gets_nothing_until_it_is_ordered_again():
+    clock, rollouts, _ = make_rollout()
+    made = [make_server('old'), make_server('new', version='v2')]
+    step = canary.Step(7, 's', 0, canary.Phase.ROLLED_BACK, 1.0)
+    rollouts.accept(step)
+    for number in range(50):
+        assert rollouts.select('s', made, f'{number}') == [made[0]]
+    rollouts.order(canary.Order('s', 'v2', 24.0, 9))
+    clock.time += 5.0
+    chosen = [rollouts.select('s', made, f'{n}')[0] for n in range(300)]
+    assert made[1] in chosen
+
+
+def test_start_in_the_middle_of_a_rollout_knows_its_age():
+    clock, rollouts, rollout = make_rollout()
+    clock.time = 1.0
+    rollouts.accept(canary.Step(7, 's', 1, canary.Phase.RUNNING, 14.0))
+    assert clock.time - rollout.started_at >= 13.0
+    assert rollout.find_share(clock.time) == canary.SHARES[0]
+    clock.time += canary.EFFECT_DELAY_S
+    assert rollout.find_share(clock.time) == canary.SHARES[1]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests import deployment
+from tests import documents
 
 TEN_TOKENS = 10
 EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
@@ -16,7 +17,7 @@
     await deployed.start_engine('e1', ['rapport:1'])
     await deployed.start_service('booking')
     await deployed.publish_basics(
-        *(profiles or (deployment.make_profile(), deployment.make_booking()))
+        *(profiles or (documents.make_profile(), documents.make_booking()))
     )
     await deployed.start_router('r1')
 
@@ -75,8 +76,8 @@
     limits = {'body_bytes': 100_000}
     await start_small(
         deployed,
-        deployment.make_profile(limits=limits),
-        deployment.make_booking(),
+        documents.make_profile(limits=limits),
+        documents.make_booking(),
     )
     for document, headers, code in BAD_REQUESTS:
         answer = await deployed.post(
@@ -103,7 +104,7 @@
 
 async def test_foreign_organisation_is_refused(deployed):
     await start_small(deployed)
-    await deployed.publish(deployment.make_organisation('other', 'other-key'))
+    await deployed.publish(documents.make_organisation('other', 'other-key'))
 
     async def refused():
         answer = await deployed.chat('r1', 'reports', key='other-key')
@@ -175,7 +176,7 @@
 async def test_broken_profile_is_refused_before_and_by_publish(
     deployed, tmp_path, change, fault
 ):
-    document = deployment.make_profile(
+    document = documents.make_profile(
         versions=('rapport:1', 'rapport:2'), **change
     )
     path = tmp_path / 'profile.json'
