--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -157,6 +157,7 @@
         made.metrics,
         settings.control.keepers,
         settings.control.unsettled_limit,
+        made.membership.is_elsewhere,
     )
     made.pins = pins.Pins(
         made.identity,
--- a/arbutuschute/ledgers/keeping.py
+++ b/arbutuschute/ledgers/keeping.py
@@ -95,6 +95,7 @@
         '_chosen',
         '_commit',
         '_identity',
+        '_is_elsewhere',
         '_keepers',
         '_limit',
         '_metrics',
@@ -107,7 +108,7 @@
     )
 
     def __init__(self, identity, send, rank_keepers, commit, timer, metrics,
-                 wanted, limit):  # fmt: skip
+                 wanted, limit, is_elsewhere=lambda _: True):  # fmt: skip
         self._identity = identity
         self._send = send
         self._rank_keepers = rank_keepers
@@ -116,6 +117,7 @@
         self._metrics = metrics
         self._wanted = wanted
         self._limit = limit
+        self._is_elsewhere = is_elsewhere
         self._chosen = ()
         self._keepers = {}
         self._securing = set()
@@ -245,13 +247,25 @@
             if name not in self._keepers
             or self._keepers[name].paused_until <= now
         ]
-        self._chosen = tuple(usable[: self._wanted])
+        self._chosen = self._choose_spread(usable)
         for name in self._chosen:
             if name not in self._keepers:
                 keeper = self._keepers[name] = _Keeper()
                 keeper.entries.update(self._unsettled)
                 self._flush(name, keeper)
 
+    def _choose_spread(self, usable):
+        """Return the first keepers, and one elsewhere if none of them is.
+
+        A new instance hears its zone mates first; with them alone, the
+        loss of the zone would take the bills along.
+        """
+        chosen = tuple(usable[: self._wanted])
+        if not chosen or any(map(self._is_elsewhere, chosen)):
+            return chosen
+        spare = filter(self._is_elsewhere, usable[self._wanted :])
+        return chosen + tuple(spare)[:1]
+
     def _settle(self, bill_id, committed):
         if not committed.cancelled():
             self._forget(bill_id)
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -179,6 +179,11 @@
         )
         return ranked
 
+    def is_elsewhere(self, name):
+        """Tell whether a member stands in another zone."""
+        member = self.members.get(name)
+        return member is not None and member.zone != self.zone
+
     def _find_usable(self, now):
         """Return the members to turn to.
 
