Remove what the platform's path no longer uses

Cause: a last reading of the change found a slot, a constant, a method and two parameters that nothing uses, and state of a stream that its one reader can have as a local value. Change: those go; behaviour stays.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -84,7 +84,7 @@
         parts.rollouts = canary.Rollouts(now)
         parts.models = sizes.Models()
         parts.units = prefill.Units()
-        parts.open_attempt = engine.make_opener(self._sessions[0], now)
+        parts.open_attempt = engine.make_opener(self._sessions[0])
         return parts
 
     def _build_followers(self, identity):
--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -7,7 +7,6 @@
 
 # A failure's weight in a server's failure rate; about ten outcomes count.
 OUTCOME_SMOOTHING = 0.1
-LATENCY_SMOOTHING = 0.2
 # A server that fails again at once stays out longer, up to the last pause.
 PAUSES_S = (0.3, 1.0, 2.0, 4.0)
 
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -50,7 +50,7 @@
     )
 
 
-def make_opener(session, now):
+def make_opener(session):
     """Return ``open_attempt`` over an HTTP client."""
 
     @contextlib.asynccontextmanager
@@ -58,7 +58,7 @@
         """Send a request; yield the ``Attempt``, or raise what went wrong."""
         response = await _send(session, server, request, left_s, last_event_id)
         try:
-            yield _check_head(server, request, response, now())
+            yield _check_head(server, request, response)
         finally:
             response.close()
 
@@ -101,7 +101,7 @@
     return headers
 
 
-def _check_head(server, request, response, at):
+def _check_head(server, request, response):
     """Return the ``Attempt`` of an answer that belongs to the request."""
     headers = response.headers
     if names.NOT_RUN in headers or response.status == 421:
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -229,8 +229,7 @@
     async def run(self):
         """Follow for ever."""
         while True:
-            was_failing = self._topic.failing
-            if was_failing:
+            if self._topic.failing:
                 self._directory.hold_removals(RETURN_AFTER_OUTAGE_S)
             answer = await self._topic.read()
             self._directory.settle()
--- a/arbutuschute/policy/repeats.py
+++ b/arbutuschute/policy/repeats.py
@@ -43,13 +43,6 @@
         window.repeats.append(self._now())
         return True
 
-    def find_use(self, service):
-        """Return the part of the budget that is used, from 0 to 1."""
-        window = self._find(service)
-        window.forget(self._now() - self._window_s)
-        room = self._allowed * len(window.requests) + self._floor
-        return len(window.repeats) / room
-
     def _find(self, service):
         window = self._events.get(service)
         if window is None:
--- a/arbutuschute/traffic/parts.py
+++ b/arbutuschute/traffic/parts.py
@@ -12,7 +12,6 @@
     __slots__ = (
         'directory',
         'freshness',
-        'gate',
         'in_flight',
         'log',
         'metrics',
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -20,13 +20,12 @@
 class _Stream:
     """One answer to a caller, made by one server or by several in turn."""
 
-    __slots__ = ('first_at', 'is_started', 'last_id', 'reply')
+    __slots__ = ('is_started', 'last_id', 'reply')
 
     def __init__(self, reply, last_id):
         self.reply = reply
         self.is_started = False
         self.last_id = last_id
-        self.first_at = None
 
 
 async def run(parts, request, reply):
@@ -169,15 +168,15 @@
 async def _pass_on(parts, request, server, stream, attempt, whole, began):
     if not stream.is_started:
         stream.is_started = True
-        stream.first_at = parts.now()
-        waited_s = stream.first_at - began
+        now = parts.now()
+        waited_s = now - began
         parts.rollouts.note(
             server, 'slow', waited_s > SLOW_TARGETS * request.route.target_s
         )
         parts.metrics.observe(
             'first_event_ms',
             request.route.name,
-            1000 * (stream.first_at - request.received_at),
+            1000 * (now - request.received_at),
         )
         await stream.reply.start(attempt.head)
     await stream.reply.write(whole)
