Reconnect to a peer as soon as it is heard again

After a peer was killed the transport's own attempts are up to 2 s apart; its successor is live, and heard, long before the owner's next attempt. Where the second keeper goes in that time and then the owner, nobody holds the bill. Change: a heartbeat of a newer incarnation renews the own connection to it.

--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -131,7 +131,10 @@
     def _accept_heartbeat(self, heartbeat):
         environment = self._environment
         now = environment.timer.now()
+        known = environment.membership.find_incarnation(heartbeat.sender)
         environment.membership.hear(heartbeat, now)
+        if heartbeat.incarnation > known:
+            environment.peers.reconnect(heartbeat.sender)
         environment.kept.hear((heartbeat.sender, heartbeat.incarnation), now)
         if environment.keeping.note_incarnation(
             heartbeat.sender, heartbeat.incarnation
--- a/arbutuschute/links/peer.py
+++ b/arbutuschute/links/peer.py
@@ -104,6 +104,20 @@
         address = self._addresses[name]
         self._pushes[name] = (address, self._open(address, immediate))
 
+    def reconnect(self, name):
+        """Connect anew at once to a peer that has come back.
+
+        The library waits ever longer between its own attempts. Messages
+        that still wait on the old connection are dropped.
+        """
+        if name not in self._pushes:
+            return
+        _, socket = self._pushes.pop(name)
+        immediate = bool(socket.getsockopt(zmq.IMMEDIATE))
+        socket.close()
+        if name in self._addresses:
+            self._connect(name, immediate)
+
     def _open(self, address, immediate):
         socket = self._context.socket(zmq.PUSH)
         socket.curve_publickey, socket.curve_secretkey = self._keys
