Claim blocks of ports for stand-ins across processes

Test workers looked for free ports at places that depend on their process ids and overlap; a port that was free when looked at may be taken by another worker's router before the stand-in binds it, a second later. The stand-in then ends, and a port that speaks ZeroMQ never answers. Excluded: nothing could be read of the one failure; its words are those that a taken port gives. A stand-in that ends is now reported at once with what it wrote, so that another cause would show. Change: blocks of 100 ports claimed by a UDP socket for as long as the process lives; the platform's tests use the same function.

--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -218,3 +218,9 @@
 StoreGap = define(
     'StoreGap', 'store-gap', 'Records of the store are gone', 503, 'topic'
 )
+
+# Tests and first runs.
+NoFreePort = define(
+    'NoFreePort', 'no-free-port', 'All ports have been given out', 500,
+    'first_port', 'ports',
+)  # fmt: skip
--- a/arbutuschute/standin/world.py
+++ b/arbutuschute/standin/world.py
@@ -1,13 +1,13 @@
 """A whole small world in one process: platform, engines, router."""
 
-import itertools
-import os
+import random
 import socket
 
 from aiohttp import web
 import msgspec
 import zmq
 
+from arbutuschute import errors
 from arbutuschute import settings
 from arbutuschute.standin import engine
 from arbutuschute.standin import platform as platform_module
@@ -16,9 +16,8 @@
 HOST = '127.0.0.1'
 QUIET_STATSD_PORT = 9
 FIRST_PORT = 10_000
-PORTS = 20_000
-PORTS_PER_PROCESS = 397
-_port_numbers = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+PORTS_PER_BLOCK = 100
+BLOCKS = 200
 
 
 class World:
@@ -105,15 +104,47 @@
     }
 
 
+def _claim_blocks():
+    """Yield first ports of blocks that no other process has claimed.
+
+    A block is claimed by a UDP socket on its first port, held until this
+    process ends: a port that was free when it was looked at would
+    otherwise be given out by another process as well, before its server
+    is up.
+    """
+    start = random.randrange(BLOCKS)
+    for number in range(BLOCKS):
+        block = (start + number) % BLOCKS
+        first = FIRST_PORT + block * PORTS_PER_BLOCK
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((HOST, first))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        yield first
+
+
+def _count_ports():
+    for first in _claim_blocks():
+        yield from range(first, first + PORTS_PER_BLOCK)
+    raise errors.NoFreePort(FIRST_PORT, BLOCKS * PORTS_PER_BLOCK)
+
+
+_claims = []
+_port_numbers = _count_ports()
+
+
 def find_free_ports(count):
     """Return ``count`` free TCP ports, each given out once.
 
-    They lie below the range from which the system picks client ports, and
-    each process starts to look at a place of its own.
+    They lie below the range from which the system picks client ports.
+    Raise ``NoFreePort`` if all have been given out.
     """
     found = []
     while len(found) < count:
-        port = FIRST_PORT + next(_port_numbers) % PORTS
+        port = next(_port_numbers)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -119,7 +119,13 @@
             name, 'arbutuschute.cli.standin', *command, '--port', str(port)
         )
         self.addresses[name] = f'http://{world.HOST}:{port}'
-        await wait_for(lambda: self._answers(self.addresses[name]), name)
+        await wait_for(lambda: self._stands(name), name)
+
+    async def _stands(self, name):
+        """Tell whether a stand-in answers; fail if it has ended."""
+        process = self.processes[name]
+        assert process.popen.poll() is None, process.read_log()
+        return await self._answers(self.addresses[name])
 
     async def _answers(self, address):
         with contextlib.suppress(aiohttp.ClientError):
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -13,6 +12,7 @@
 
 from arbutuschute import instance
 from arbutuschute.platform import settings
+from arbutuschute.standin import world
 from tests.platform import standin
 
 HOST = '127.0.0.1'
@@ -90,13 +90,14 @@
         for number, answer in enumerate(answers):
             await self.add_engine(f'i-{number}', answer)
         self.store.put('keyed.op', 'config', make_configuration(1))
-        self._ports['callers'] = find_free_port()
-        self._ports['readiness'] = find_free_port()
+        callers, readiness, metrics = world.find_free_ports(3)
+        self._ports['callers'] = callers
+        self._ports['readiness'] = readiness
         text = self.settings_text = SETTINGS.format(**self._ports)
         self.settings_path.write_text(text)
         chosen = msgspec.structs.replace(
             settings.decode(text, 'test').unwrap(),
-            metrics_port=find_free_port(),
+            metrics_port=metrics,
         )
         self.metrics_url = f'http://{HOST}:{chosen.metrics_port}/metrics'
         self.instance = instance.Instance(
@@ -180,12 +181,6 @@
                 loop.remove_signal_handler(name)
 
 
-def find_free_port():
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 async def wait_for(is_done, within_s=10.0):
     """Wait for a state; fail if it never comes."""
     async with asyncio.timeout(within_s):
@@ -193,8 +188,8 @@
             await asyncio.sleep(0.01)
 
 
-@pytest_asyncio.fixture
-async def world(tmp_path):
+@pytest_asyncio.fixture(name='world')
+async def make_world(tmp_path):
     made = World(tmp_path)
     try:
         yield made
