Read the steps of roll-outs before an instance is live

The steps of a roll-out were first read 1.2 s after the start, so that an instance took a completed roll-out for one that has not begun and looked for the old version, which was gone. Excluded: readiness (the platform sends here all the same), the directory (servers of the new version were listed before 'started'). Change: the topic of steps is read at the start and is waited for up to 1 s; records that come before their order are kept for it; when a step takes effect follows what is known of the roll-out's start. Tests: a start with a completed roll-out (failed before), a start when the steps cannot be read.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -37,6 +37,9 @@
 # Kept back from the time that a stop may take.
 EXIT_MARGIN_S = 0.4
 CHECK_PERIOD_S = 0.05
+# A start waits this long for the steps of roll-outs; the store answers in
+# milliseconds unless it is in trouble.
+STEPS_PATIENCE_S = 1.0
 # The platform may change the settings without a signal.
 SETTINGS_PERIOD_S = 2.0
 BACKLOG = 512
@@ -153,13 +156,26 @@
         for follower in (self.operator, self.servers, self.rollout_task):
             self._start_task(follower.run())
         self._start_task(self._watch_settings())
+        await self._load()
+        if self._stopping.is_set():
+            return
+        await self._listen(self._ingress.make_server(), self._settings.callers)
+        self.parts.state = 'live'
+        self._log.info('started', version=self.parts.table.version)
+
+    async def _load(self):
+        """Wait for what a request needs, or for the order to stop.
+
+        Without the steps of a roll-out, sessions would go to versions
+        that are gone; without anything of them for long, serving the
+        other services goes first.
+        """
         while self.parts.table is None or not self.servers.is_loaded:
             await self._timer.sleep(CHECK_PERIOD_S)
             if self._stopping.is_set():
                 return
-        await self._listen(self._ingress.make_server(), self._settings.callers)
-        self.parts.state = 'live'
-        self._log.info('started', version=self.parts.table.version)
+        limit = self._timer.now() + STEPS_PATIENCE_S
+        await self._wait_until(lambda: self.rollout_task.is_loaded, limit)
 
     async def _listen(self, server, address):
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -63,8 +63,15 @@
                 offset=record.offset,
             )
 
+    @property
+    def is_loaded(self):
+        """Whether what was agreed before this start has been read."""
+        return self._topic.position is not None
+
     async def run(self):
-        """Carry roll-outs for ever."""
+        """Read what has been agreed, then carry roll-outs for ever."""
+        while isinstance(await self._topic.read(), result.Failure):
+            await self._timer.sleep(followers.PAUSE_AFTER_FAILURE_S)
         while True:
             await self._timer.sleep(
                 PERIOD_S * self._random.uniform(0.85, 1.15)
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -91,6 +91,7 @@
     """One order and what is known of it."""
 
     __slots__ = (
+        '_effect_after_s',
         '_evidence',
         '_own',
         'ended_at',
@@ -100,7 +101,6 @@
         'order',
         'phase',
         'started_at',
-        'stepped_at',
     )
 
     def __init__(self, order, now):
@@ -108,14 +108,24 @@
         self.phase = Phase.RUNNING
         self.number = 0
         self.started_at = now
-        self.stepped_at = now
         self.ended_at = now
         # Whether the log knows of the roll-out, and the operator of its end.
         self.is_announced = False
         self.is_settled = False
+        # When the newest step takes effect, in seconds of the roll-out.
+        self._effect_after_s = 0.0
         self._own = {'new': guard.Counters(), 'old': guard.Counters()}
         self._evidence = {}
 
+    @property
+    def stepped_at(self):
+        """When the newest step takes effect.
+
+        Who starts in the middle of a roll-out learns of its start from
+        the ages in the records, and knows better with each of them.
+        """
+        return self.started_at + self._effect_after_s
+
     def find_share(self, now):
         """Return the share of sessions that the new version gets now."""
         if self.phase is Phase.ROLLED_BACK:
@@ -142,9 +152,7 @@
         self.ended_at = now
         if record.number > self.number:
             self.number = record.number
-            self.stepped_at = (
-                self.started_at + record.elapsed_s + EFFECT_DELAY_S
-            )
+            self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
 
     def note(self, version, signal, failed):
         """Count one outcome that this instance saw."""
@@ -228,9 +236,11 @@
 class Rollouts:
     """The newest order of each service, and versions that were bad."""
 
-    __slots__ = ('_now', 'by_service', 'rejected')
+    __slots__ = ('_early', '_now', 'by_service', 'rejected')
 
     def __init__(self, now):
+        # Newest records of orders that have not been read yet.
+        self._early = {}
         self._now = now
         self.by_service = {}
         self.rejected = set()
@@ -241,11 +251,20 @@
         if known is None or known.order.offset < order.offset:
             self.by_service[order.service] = Rollout(order, self._now())
             self.rejected.discard((order.service, order.version))
+            for record in self._early.pop(order.service, {}).values():
+                self.accept(record)
 
     def accept(self, record):
-        """Take over a record of the log; return the roll-out it is about."""
+        """Take over a record of the log; return the roll-out it is about.
+
+        Records and orders are read apart: a record may come first.
+        """
         rollout = self.by_service.get(record.service)
-        if rollout is None or rollout.order.offset != record.order:
+        if rollout is None or rollout.order.offset < record.order:
+            writer = getattr(record, 'instance', None)
+            self._early.setdefault(record.service, {})[writer] = record
+            return None
+        if rollout.order.offset != record.order:
             return None
         rollout.accept(record, self._now())
         if rollout.phase is Phase.ROLLED_BACK:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,6 +21,7 @@
         self.firsts = {}
         self.fault = None
         self.lost_appends = 0
+        self.broken_topics = set()
         self._news = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -68,6 +69,8 @@
     async def _fail(self, request, handler):
         if self.fault == 'busy':
             return web.Response(status=503)
+        if request.query.get('topic') in self.broken_topics:
+            return web.Response(status=503)
         if self.fault == 'silent':
             await asyncio.sleep(30)
         if self.fault == 'reset':
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 from arbutuschute import instance
 from arbutuschute.platform import followers
+from arbutuschute.policy import canary
 from tests.platform import conftest
 from tests.platform import standin
 
@@ -244,6 +245,26 @@
     assert len(bad.seen) == arrived
 
 
+async def test_instance_starts_with_the_steps_that_a_rollout_has_made(world):
+    order = {'service': 'plain', 'target': 'v2', 'durationS': 6}
+    step = canary.Step(0, 'plain', 2, canary.Phase.COMPLETED, 5.0)
+    world.store.put('keyed.op', 'rollout/plain', order)
+    world.store.put_raw('keyed.rollouts', 'step/plain', canary.encode(step))
+    await world.add_engine('i-new', version='v2')
+    await world.start(answers=())
+    assert await ask(world) == 200
+
+
+async def test_instance_starts_though_steps_of_a_rollout_cannot_be_read(
+    world,
+):
+    order = {'service': 'plain', 'target': 'v2', 'durationS': 6}
+    world.store.put('keyed.op', 'rollout/plain', order)
+    world.store.broken_topics = {'keyed.rollouts'}
+    await world.start()
+    assert await ask(world) == 200
+
+
 async def test_metrics_are_served_as_text(world):
     await world.start()
     assert await ask(world) == 200
