--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -91,6 +91,12 @@
         for number, answer in enumerate(answers):
             await self.add_engine(f'i-{number}', answer)
         self.store.put('keyed.op', 'config', make_configuration(1))
+        self.instance = self.make_instance()
+        self.running = asyncio.ensure_future(self.instance.run())
+        await wait_for(lambda: self.instance.parts.state == 'live')
+
+    def make_instance(self):
+        """Make an instance on ports of its own; callers go to the newest."""
         callers, readiness, metrics, mates = world.find_free_ports(4)
         self._ports['mates'] = mates
         self._ports['callers'] = callers
@@ -102,13 +108,11 @@
             metrics_port=metrics,
         )
         self.metrics_url = f'http://{HOST}:{chosen.metrics_port}/metrics'
-        self.instance = instance.Instance(
+        return instance.Instance(
             chosen,
             str(self.settings_path),
             asyncio.get_running_loop(),
         )
-        self.running = asyncio.ensure_future(self.instance.run())
-        await wait_for(lambda: self.instance.parts.state == 'live')
 
     async def add_engine(self, name, answer=None, **entry):
         engine = standin.Engine(name, answer)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -22,6 +22,7 @@
         self.fault = None
         self.lost_appends = 0
         self.broken_topics = set()
+        self.reads = 0
         self._news = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -91,6 +92,7 @@
         return web.json_response({'offset': end, 'end': end + 1})
 
     async def _handle_read(self, request):
+        self.reads += 1
         topic = request.query['topic']
         start = int(request.query['from'])
         first = self.firsts.get(topic, 0)
--- /dev/null
+++ b/tests/platform/test_mates.py
@@ -0,0 +1,98 @@
+"""Two instances of one zone, one of which reads the store for both."""
+
+import asyncio
+import contextlib
+
+from tests.platform import conftest
+
+SETTLE_S = 2.0
+
+
+@contextlib.asynccontextmanager
+async def start_mate(world):
+    """Start a second instance; callers are sent to it."""
+    mate = world.make_instance()
+    running = asyncio.ensure_future(mate.run())
+    try:
+        await conftest.wait_for(lambda: mate.parts.state == 'live')
+        yield mate
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await mate.close()
+
+
+async def is_served(world, path):
+    async with world.call(path) as response:
+        await response.read()
+        return response.status == 200
+
+
+async def wait_until_served(world, path, within_s):
+    async with asyncio.timeout(within_s):
+        while not await is_served(world, path):
+            await asyncio.sleep(0.02)
+
+
+async def count_reads(world, seconds):
+    before = world.store.reads
+    await asyncio.sleep(seconds)
+    return world.store.reads - before
+
+
+async def test_mate_is_served_by_the_reader_and_goes_on_without_it(world):
+    await world.start()
+    await conftest.wait_for(lambda: world.instance.reader.is_reader)
+    alone = await count_reads(world, SETTLE_S)
+    async with start_mate(world) as mate:
+        await asyncio.sleep(SETTLE_S)
+        together = await count_reads(world, SETTLE_S)
+        assert not mate.reader.is_reader
+        assert together <= alone + 1
+
+        route = conftest.make_route('new', 'idempotent')
+        changed = conftest.make_configuration(2, [route])
+        world.store.put('keyed.op', 'config', changed)
+        await wait_until_served(world, '/new/x', within_s=0.5)
+
+        world.running.cancel()
+        await asyncio.gather(world.running, return_exceptions=True)
+        await world.instance.close()
+        later = conftest.make_route('later', 'idempotent')
+        world.store.put(
+            'keyed.op', 'config', conftest.make_configuration(3, [later])
+        )
+        await wait_until_served(world, '/later/x', within_s=2.5)
+        await conftest.wait_for(lambda: mate.reader.is_reader)
+
+
+async def test_mate_reads_the_store_when_its_reader_cannot(world):
+    await world.start()
+    await conftest.wait_for(lambda: world.instance.reader.is_reader)
+    async with start_mate(world) as mate:
+        await asyncio.sleep(SETTLE_S)
+        assert not mate.reader.is_reader
+        # The reader answers its mates, and the store no longer answers it.
+        for task in world.instance._tasks:
+            task.cancel()
+        changed = conftest.make_configuration(
+            2, [conftest.make_route('new', 'idempotent')]
+        )
+        world.store.put('keyed.op', 'config', changed)
+        await wait_until_served(world, '/new/x', within_s=2.5)
+        for _ in range(20):
+            assert await is_served(world, '/again/x')
+            await asyncio.sleep(0.1)
+
+
+async def test_questions_that_make_no_sense_are_refused(world):
+    await world.start()
+    base = f'http://{world.instance._settings.mates}/tail'
+    async with world.http.get(base) as response:
+        assert response.status == 400
+    query = {'topic': 'keyed.op', 'start': 'x', 'wait_s': '0'}
+    async with world.http.get(base, params=query) as response:
+        assert response.status == 400
+    query = {'topic': 'another', 'start': '0', 'wait_s': '0'}
+    async with world.http.get(base, params=query) as response:
+        assert response.status == 404
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,11 @@
         return response.status
 
 
+async def ask_as(world, request_id):
+    headers = {'Arbutuschute-Attempt-Id': request_id}
+    return await ask(world, headers=headers)
+
+
 async def wait_for_status(world, status, path='/again/x', within_s=5.0):
     async with asyncio.timeout(within_s):
         while await ask(world, path) != status:
@@ -215,7 +220,10 @@
     async with asyncio.timeout(15):
         while 'completed' not in statuses:
             number += 1
-            await ask(world, headers={'Arbutuschute-Attempt-Id': f'{number}'})
+            # Several at once: a busy machine sees enough of them, too.
+            await asyncio.gather(
+                *(ask_as(world, f'{number}-{caller}') for caller in range(4))
+            )
             raw = world.store.find('keyed.status', 'rollout/plain')
             if raw is not None:
                 assert b'"target":"v2"' in raw
