Keep sessions under way on their version while a roll-out begins

Change: with the first share, keys that this instance has sent to the old version within the session's time and 6 s stay there; new sessions go by their hash.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -87,7 +87,7 @@
         parts.directory = servers.Directory(now)
         parts.freshness = freshness.Freshness(now, _find_lease(settings))
         parts.repeats = repeats.Repeats(now, settings.bounds)
-        parts.rollouts = canary.Rollouts(now)
+        parts.rollouts = canary.Rollouts(now, settings.bounds.session_s)
         parts.models = sizes.Models()
         parts.units = prefill.Units()
         parts.open_attempt = engine.make_opener(self._sessions[0])
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -29,6 +29,11 @@
 # Part of the roll-out's time by which it is completed or rolled back.
 END_BY = 0.9
 LEAST_TRIALS = 12
+# A session goes on if its next request comes within so long of the end of the
+# one before; deployments set it.
+SESSION_S = 5.0
+# Nearly all streams end within this time of their start.
+LONG_STREAM_S = 6.0
 SIGNALS = ('error', 'slow')
 
 
@@ -236,11 +241,16 @@
 class Rollouts:
     """The newest order of each service, and versions that were bad."""
 
-    __slots__ = ('_early', '_now', 'by_service', 'rejected')
+    __slots__ = ('_early', '_memory_s', '_now', '_on_old', 'by_service',
+                 'rejected')  # fmt: skip
 
-    def __init__(self, now):
+    def __init__(self, now, session_s=SESSION_S):
         # Newest records of orders that have not been read yet.
         self._early = {}
+        # When keys were last sent to a version that no roll-out brings in,
+        # oldest first.
+        self._on_old = {}
+        self._memory_s = session_s + LONG_STREAM_S
         self._now = now
         self.by_service = {}
         self.rejected = set()
@@ -285,11 +295,12 @@
             if (service, server.entry.version) not in self.rejected
         ]
         rollout = self.by_service.get(service)
+        wants_new = self._wants_new(rollout, service, key)
+        if not wants_new:
+            self._note_old((service, key))
         if rollout is None or rollout.phase is Phase.ROLLED_BACK:
             return usable
         version = rollout.order.version
-        point = rendezvous.place(f'{service}/{version}/{key}')
-        wants_new = point < rollout.find_share(self._now())
         chosen = [
             server
             for server in usable
@@ -298,3 +309,27 @@
         if chosen or not wants_new:
             return chosen
         return usable  # No server of the new version is left to ask.
+
+    def _wants_new(self, rollout, service, key):
+        """Tell whether a key's requests go to the version of a roll-out.
+
+        With the first share go sessions that begin; those that are under
+        way stay where they are, as far as this instance has seen them.
+        """
+        if rollout is None:
+            return False
+        share = rollout.find_share(self._now())
+        point = rendezvous.place(f'{service}/{rollout.order.version}/{key}')
+        if point >= share:
+            return False
+        if share > SHARES[0]:
+            return True
+        seen_at = self._on_old.get((service, key), float('-inf'))
+        return self._now() - seen_at > self._memory_s
+
+    def _note_old(self, key):
+        now = self._now()
+        self._on_old.pop(key, None)
+        self._on_old[key] = now
+        while now - next(iter(self._on_old.values())) > self._memory_s:
+            del self._on_old[next(iter(self._on_old))]
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -154,3 +154,35 @@
     assert rollout.find_share(clock.time) == canary.SHARES[0]
     clock.time += canary.EFFECT_DELAY_S
     assert rollout.find_share(clock.time) == canary.SHARES[1]
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_sessions_under_way_do_not_move_in_the_first_half(seed):
+    """Many long sessions, each at one instance, over an order.
+
+    Their requests are up to 8 s apart, and last up to 4 s.
+    """
+    draw = random.Random(seed)
+    clock = Clock()
+    rollouts = canary.Rollouts(clock, session_s=8.5)
+    made = [make_server('old'), make_server('new', version='v2')]
+    following = [(draw.uniform(0.0, 12.0), f'{seed}-{n}') for n in range(400)]
+    seen = {}
+    moved = on_new = 0
+    while following:
+        now, session = min(following)
+        following.remove((now, session))
+        if now > 24.0:
+            continue
+        clock.time = now
+        if now > 10.0 and not rollouts.by_service:
+            rollouts.order(canary.Order('s', 'v2', 24.0, 7))
+        chosen = rollouts.select('s', made, session)[0].entry.version
+        moved += seen.get(session, chosen) != chosen
+        on_new += chosen == 'v2'
+        seen[session] = chosen
+        if draw.random() < 0.1:
+            session = f'{seed}-{draw.random()}'
+        following.append((now + draw.uniform(0.5, 12.0), session))
+    assert moved == 0
+    assert on_new
