Begin roll-outs with a smaller share in larger fleets

A trial with sessions in the log showed four sessions that came to another instance between two requests (103 of 1042 sessions with several requests do), which can't know them. Excluded: a shared table of sessions (a message a request), a later begin (there are always sessions under way). Change: the first share shrinks with the service's servers beyond nine, to 0.018 for 30 and 0.012 for 45; its announcement in the log carries it, so that all use the same. What is needed to judge a version does not grow with the fleet.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -126,7 +126,9 @@
         self._log.info('configuration', version=table.version)
 
     def _apply_order(self, order):
-        self.parts.rollouts.order(order)
+        self.parts.rollouts.order(
+            order, len(self.parts.directory.find(order.service))
+        )
         self._log.info(
             'rollout ordered', service=order.service, version=order.version
         )
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -63,7 +63,7 @@
                 service=found.service,
                 version=rollout.order.version,
                 number=rollout.number,
-                share=canary.SHARES[rollout.number],
+                share=rollout.find_share(float('inf')),
                 phase=rollout.phase.value,
                 offset=record.offset,
             )
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -15,6 +15,10 @@
 # Share of sessions that each step sends to the new version. The first stays
 # below the bound of exposure (0.0975 and more).
 SHARES = (0.06, 0.4, 1.0)
+# Servers of the old version up to which the first share is that large. More
+# servers mean more requests, and what is needed to judge a version stays the
+# same, while sessions that change over unseen grow with the requests.
+SERVERS_AT_FIRST_SHARE = 9
 # Servers of the new version start with the order; by then every instance has
 # heard of them, so that all begin together and no session goes to and fro.
 BEGIN_AFTER_S = 3.0
@@ -65,6 +69,7 @@
     number: int
     phase: Phase
     elapsed_s: float
+    first_share: float = SHARES[0]
 
 
 class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
@@ -100,6 +105,7 @@
         '_evidence',
         '_own',
         'ended_at',
+        'first_share',
         'is_announced',
         'is_settled',
         'number',
@@ -108,8 +114,9 @@
         'started_at',
     )
 
-    def __init__(self, order, now):
+    def __init__(self, order, now, first_share=SHARES[0]):
         self.order = order
+        self.first_share = first_share
         self.phase = Phase.RUNNING
         self.number = 0
         self.started_at = now
@@ -140,9 +147,8 @@
         begin_s = min(BEGIN_AFTER_S, BEGIN_SHARE_MOST * self.order.duration_s)
         if now - self.started_at < begin_s:
             return 0.0
-        if now < self.stepped_at:
-            return SHARES[max(0, self.number - 1)]
-        return SHARES[self.number]
+        number = self.number - (now < self.stepped_at)
+        return SHARES[number] if number > 0 else self.first_share
 
     def accept(self, record, now):
         """Take over a record about this order, in the order of the log."""
@@ -153,6 +159,7 @@
         if self.phase is not Phase.RUNNING:
             return
         self.is_announced = True
+        self.first_share = record.first_share
         self.phase = record.phase
         self.ended_at = now
         if record.number > self.number:
@@ -234,10 +241,20 @@
 
     def _make_step(self, number, phase, elapsed):
         return Step(
-            self.order.offset, self.order.service, number, phase, elapsed
+            self.order.offset,
+            self.order.service,
+            number,
+            phase,
+            elapsed,
+            self.first_share,
         )
 
 
+def find_first_share(servers):
+    """Return the first share of a service with so many servers."""
+    return SHARES[0] * min(1.0, SERVERS_AT_FIRST_SHARE / max(1, servers))
+
+
 class Rollouts:
     """The newest order of each service, and versions that were bad."""
 
@@ -255,11 +272,16 @@
         self.by_service = {}
         self.rejected = set()
 
-    def order(self, order):
-        """Take over an operator's order, unless it is known already."""
+    def order(self, order, servers=0):
+        """Take over an operator's order, unless it is known already.
+
+        ``servers`` is how many the service has; the first share is that of
+        the instance that announces the roll-out.
+        """
         known = self.by_service.get(order.service)
         if known is None or known.order.offset < order.offset:
-            self.by_service[order.service] = Rollout(order, self._now())
+            share = find_first_share(servers)
+            self.by_service[order.service] = Rollout(order, self._now(), share)
             self.rejected.discard((order.service, order.version))
             for record in self._early.pop(order.service, {}).values():
                 self.accept(record)
@@ -322,7 +344,7 @@
         point = rendezvous.place(f'{service}/{rollout.order.version}/{key}')
         if point >= share:
             return False
-        if share > SHARES[0]:
+        if share > rollout.first_share:
             return True
         seen_at = self._on_old.get((service, key), float('-inf'))
         return self._now() - seen_at > self._memory_s
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -186,3 +186,48 @@
         following.append((now + draw.uniform(0.5, 12.0), session))
     assert moved == 0
     assert on_new
+
+
+def test_first_share_shrinks_with_the_fleet_and_all_use_the_announced_one():
+    clock, rollouts, rollout = make_rollout()
+    assert rollout.first_share == canary.SHARES[0]
+    large = canary.Rollouts(clock)
+    large.order(canary.Order('s', 'v2', 24.0, 7), servers=45)
+    announced = large.by_service['s'].decide('i', 0.0, True)
+    assert announced.first_share == pytest.approx(0.012)
+    rollouts.accept(canary.decode(canary.encode(announced)))
+    assert rollout.find_share(4.0) == pytest.approx(0.012)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_few_sessions_change_over_unseen_in_a_large_fleet(seed):
+    """Thirty servers, 184 requests a second, sessions at any instance.
+
+    One in ten requests comes to another instance than the one before in
+    its session, which nobody there has seen.
+    """
+    draw = random.Random(seed)
+    clock = Clock()
+    worlds = [canary.Rollouts(clock, session_s=8.5) for _ in range(20)]
+    made = [make_server('old'), make_server('new', version='v2')]
+    sessions = [[f'{seed}-{n}', n % 20, None] for n in range(700)]
+    moved = trials = 0
+    is_ordered = False
+    while clock.time < 22.0:
+        clock.time += draw.expovariate(184.0)
+        if clock.time > 10.0 and not is_ordered:
+            is_ordered = True
+            for world in worlds:
+                world.order(canary.Order('s', 'v2', 24.0, 7), servers=30)
+        session = draw.choice(sessions)
+        if draw.random() < 0.3:
+            session[:] = [f'{seed}-{draw.random()}', session[1], None]
+        if draw.random() < 0.1:
+            session[1] = draw.randrange(20)
+        key, place, before = session
+        version = worlds[place].select('s', made, key)[0].entry.version
+        moved += before == 'v1' and version == 'v2'
+        trials += version == 'v2'
+        session[2] = version
+    assert moved <= 3
+    assert trials >= canary.LEAST_TRIALS
