--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -74,11 +74,13 @@
 
     async def read(self, topic, start, sharing):
         """Return a ``Page`` from the zone's reader; None: ask the store."""
-        now = self._timer.now()
-        if self._entry is None or self.is_reader or now < self._retry_at:
+        entry = self._entry
+        if entry is None or self.is_reader:
+            return None
+        if self._timer.now() < self._retry_at:
             return None
         answer = await tails_module.fetch(
-            self._session, self._entry.address, topic, start, sharing.wait_s
+            self._session, entry.address, topic, start, sharing.wait_s
         )
         if isinstance(answer, result.Failure):
             failure = answer.failure()
@@ -90,7 +92,7 @@
             # Others of its topics may be well; it has no time to rest.
             self._note_failure(f'{topic} is {share.age_s:.2f} s old', 0.0)
             return None
-        self._note_success()
+        self._note_success(entry)
         return store_module.Page(
             share.end, start, start, share.records, share.held_s - share.age_s
         )
@@ -106,11 +108,11 @@
         if self._failing_since is None:
             self._failing_since = now
 
-    def _note_success(self):
+    def _note_success(self, entry):
         self._failing_since = None
         if not self._is_well:
             self._is_well = True
-            self._log.info('zone reader found', reader=self._entry.address)
+            self._log.info('zone reader found', reader=entry.address)
 
     async def run(self):
         """Keep the zone's reader known for ever."""
@@ -135,11 +137,7 @@
         """Take the role unless another instance has done so meanwhile."""
         if self._is_well:
             self._is_well = False
-            self._log.warning(
-                'zone reader lost',
-                reader=self._entry.address,
-                cause=self._cause,
-            )
+            self._log.warning('zone reader lost', cause=self._cause)
         await self._timer.sleep(TAKEOVER_SPREAD_S * self._random.random())
         known = self._entry
         if not await self._look_up() or self._entry != known:
--- a/arbutuschute/zones/tails.py
+++ b/arbutuschute/zones/tails.py
@@ -24,6 +24,8 @@
 ANSWER_BYTES_MOST = 24 * 1024
 # A mate in the own zone answers within a millisecond when it is well.
 ANSWER_TIMEOUT_S = 0.4
+# No follower asks a mate to hold a question for longer than its period.
+WAIT_MOST_S = 30.0
 PATH = '/tail'
 
 
@@ -139,6 +141,8 @@
             wait_s = float(query['wait_s'])
         except (KeyError, ValueError):
             return web.Response(status=400)
+        if not 0.0 <= wait_s <= WAIT_MOST_S:
+            return web.Response(status=400)
         found = await self.share(topic, start, wait_s)
         if found is None:
             return web.Response(status=404)
--- a/tests/platform/test_mates.py
+++ b/tests/platform/test_mates.py
@@ -91,6 +91,9 @@
     async with world.http.get(base) as response:
         assert response.status == 400
     query = {'topic': 'keyed.op', 'start': 'x', 'wait_s': '0'}
+    async with world.http.get(base, params=query) as response:
+        assert response.status == 400
+    query = {'topic': 'keyed.op', 'start': '0', 'wait_s': 'nan'}
     async with world.http.get(base, params=query) as response:
         assert response.status == 400
     query = {'topic': 'another', 'start': '0', 'wait_s': '0'}
