--- a/arbutuschute/cli/definition.py
+++ b/arbutuschute/cli/definition.py
@@ -329,18 +329,41 @@
         click.echo(f'{digest} appended')
 
 
+log_files = click.argument(
+    'files', nargs=-1, type=click.File(errors='replace')
+)
+
+
 @arbutuschute.command()
 @click.argument('request')
-@click.argument('files', nargs=-1, type=click.File(errors='replace'))
+@log_files
 def story(request, files):
     """Tell what became of REQUEST, from the log lines in FILES.
 
     Without FILES, lines come from standard input; those of many instances
     may be mixed.
     """
-    sources = files or (sys.stdin,)
-    texts = (text for source in sources for text in source)
-    lines = list(stories.read_lines(texts, request))
+    lines = list(stories.read_lines(_read_texts(files), request))
     if not lines:
         output.exit_refused(f'no line about {request}')
     click.echo(stories.tell(lines))
+
+
+@arbutuschute.command()
+@click.argument('instance')
+@log_files
+def timeline(instance, files):
+    """Tell what INSTANCE believed over time, from the log lines in FILES.
+
+    Without FILES, lines come from standard input. Requests are counted by
+    outcome between two changes.
+    """
+    lines = list(stories.read_instance(_read_texts(files), instance))
+    if not lines:
+        output.exit_refused(f'no line of {instance}')
+    click.echo(stories.tell_timeline(lines))
+
+
+def _read_texts(files):
+    for source in files or (sys.stdin,):
+        yield from source
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -98,3 +98,36 @@
     )
     assert told.exit_code != 0
     assert 'no line about q9' in told.output
+
+
+BELIEFS = """\
+{"time":"2026-12-04T10:00:03.000+00:00","level":"INFO","event":"store regained","instance":"edge-a","topic":"t"}
+{"time":"2026-12-04T10:00:01.000+00:00","level":"WARNING","event":"store lost","instance":"edge-a","topic":"t","cause":"c"}
+{"time":"2026-12-04T10:00:01.200+00:00","level":"INFO","event":"server chosen","instance":"edge-a","request":"q1"}
+{"time":"2026-12-04T10:00:02.000+00:00","level":"WARNING","event":"request ended","instance":"edge-a","request":"q1","outcome":"cut-off"}
+{"time":"2026-12-04T10:00:02.100+00:00","level":"WARNING","event":"request ended","instance":"edge-a","request":"q2","outcome":"cut-off"}
+{"time":"2026-12-04T10:00:04.000+00:00","level":"INFO","event":"request ended","instance":"edge-a","request":"q3","outcome":"answered"}
+{"time":"2026-12-04T10:00:01.500+00:00","level":"INFO","event":"store lost","instance":"edge-b","topic":"t"}
+{"time":
+"""  # noqa: E501
+
+
+def test_timeline_lists_changes_and_counts_requests_between_them():
+    told = testing.CliRunner().invoke(
+        definition.arbutuschute, ['timeline', 'edge-a'], input=BELIEFS
+    )
+    assert told.exit_code == 0
+    assert told.output.splitlines() == [
+        '2026-12-04T10:00:01+00:00  store lost: topic=t cause=c',
+        '    requests ended: 2 cut-off',
+        '2026-12-04T10:00:03+00:00  store regained: topic=t',
+        '    requests ended: 1 answered',
+    ]
+
+
+def test_timeline_of_an_unknown_instance_says_so():
+    told = testing.CliRunner().invoke(
+        definition.arbutuschute, ['timeline', 'edge-z'], input=BELIEFS
+    )
+    assert told.exit_code != 0
+    assert 'no line of edge-z' in told.output
