--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 bench: $(VENV)/.done ## compare with a naive pass-through of the same library
 	$(PY) -m benchmarks.passthrough
+	$(PY) -m benchmarks.logs
 
 experiments: $(VENV)/.done ## the measures, each against its naive baseline
 	$(VENV)/bin/arbutuschute-load experiments
--- /dev/null
+++ b/benchmarks/logs.py
@@ -0,0 +1,84 @@
+"""What log lines cost at ten times today's load, read and unread.
+
+Run with ``python -m benchmarks.logs``. Today an instance ends about ten
+requests a second, with two and a half lines each.
+"""
+
+import os
+import threading
+import time
+
+from arbutuschute import logs
+
+SECONDS = 5.0
+REQUESTS_PER_S = 100
+FACTS = {
+    'server': 'i-7e4c18e7fc',
+    'service': 'redaction',
+    'version': 'v1',
+    'load': 1.7,
+    'load_age_ms': 212,
+    'foreseen_ms': 91,
+}
+
+
+def write_request(log, number):
+    """Write the lines of one request; every fourth has a failed attempt."""
+    request = f'{number:016x}'
+    log.info('server chosen', request=request, attempt=1, **FACTS)
+    if number % 4 == 0:
+        log.warning('attempt failed', request=request, **FACTS)
+        log.info('server chosen', request=request, attempt=2, **FACTS)
+    log.info('request ended', request=request, status=200, **FACTS)
+
+
+def drain(descriptor, sizes):
+    """Read a pipe to its end; append what each reading brought, in bytes."""
+    while chunk := os.read(descriptor, 65536):
+        sizes.append(len(chunk))
+
+
+def run(is_read):
+    """Return (lines offered, bytes read, seconds of processor, longest)."""
+    reading, writing = os.pipe()
+    sizes = []
+    reader = threading.Thread(target=drain, args=(reading, sizes))
+    if is_read:
+        reader.start()
+    log = logs.make_line_logger(writing, instance='edge-a-1')
+    used_s = longest_s = 0.0
+    began = time.monotonic()
+    requests = int(SECONDS * REQUESTS_PER_S)
+    for number in range(requests):
+        time.sleep(
+            max(0.0, began + number / REQUESTS_PER_S - time.monotonic())
+        )
+        at, used_at = time.monotonic(), time.thread_time()
+        write_request(log, number)
+        used_s += time.thread_time() - used_at
+        longest_s = max(longest_s, time.monotonic() - at)
+    os.close(writing)
+    if is_read:
+        reader.join()
+    os.close(reading)
+    lines = 2 * requests + 2 * len(range(0, requests, 4))
+    return lines, sum(sizes), used_s, longest_s
+
+
+def main():
+    """Print a row for a pipe that is read and one for a pipe that is not."""
+    print(f'{REQUESTS_PER_S} requests a second for {SECONDS:.0f} s')
+    for is_read in (True, False):
+        lines, size, used_s, longest_s = run(is_read)
+        print(
+            f'{"read" if is_read else "never read":>10}: '
+            f'{lines / SECONDS:.0f} lines/s offered, '
+            f'{size / SECONDS / 1024:.1f} KB/s read, '
+            f'{1e6 * used_s / lines:.0f} us of processor a line, '
+            f'{100 * used_s / SECONDS:.2f}% of a core, '
+            f'longest request {1000 * longest_s:.2f} ms'
+        )
+
+
+if __name__ == '__main__':
+    main()
