Take the mates' address from the readiness address; settings need no more fields

The test is right: settings that were valid stay so. Change: the host of the readiness address, which is the machine's own. On the platform both are the same.

--- a/arbutuschute/platform/settings.py
+++ b/arbutuschute/platform/settings.py
@@ -87,14 +87,15 @@
 
 def _decode_settings(values, faults):
     read = _Reader(values, faults)
+    readiness = read.address('listen.readiness')
     return Settings(
         name=read.text('node'),
         zone=read.text('zone'),
         region=read.text('region'),
         callers=read.address('listen.frontendAddress'),
-        readiness=read.address('listen.readiness'),
+        readiness=readiness,
         store=read.address('platform.address'),
-        mates=Address(read.text('ip'), read.first_port('portRange')),
+        mates=Address(readiness.host, read.first_port('portRange')),
         regions_by_zone={
             key.removeprefix('zones.'): value
             for key, value in values.items()
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -24,7 +24,6 @@
 zones.a=r
 listen.frontendAddress=127.0.0.1:{callers}
 listen.readiness=127.0.0.1:{readiness}
-ip=127.0.0.1
 portRange={mates},{mates}
 bounds.revokeMs=1800
 bounds.graceS=5
