Keep the lease of an instance cut off from the log alone

Cause: a read of the log proves what it proves as of its asking, and the log may hold it for 1 s: just before an answer the last proof is 2 s old, as old as the lease of the scenario (2 s). Peers' reads end together, because the last publication ended them together, so that r3 lost its lease for 0.17 s in each second. Beside that, a peer's statement at a newer offset took back what it had proved before, for as long as the newer records were under way. Change: the hold of a read follows the lease (an eighth, 1 s at most, so that a lease of 10 s costs the store nothing more); a lease proved is not taken back; membership tells a restart from a return.

--- a/arbutuschute/agreement.py
+++ b/arbutuschute/agreement.py
@@ -44,9 +44,12 @@
         lease_s,
         environment.settings.platform.region,
     )
-    if confirmed_at is None:
-        return False
-    environment.confirmed_until = confirmed_at + lease_s
+    if confirmed_at is not None:
+        # A peer that has moved on confirms us no more; what it stated
+        # before still holds for its lease.
+        environment.confirmed_until = max(
+            environment.confirmed_until, confirmed_at + lease_s
+        )
     return now <= environment.confirmed_until
 
 
--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -131,10 +131,8 @@
     def _accept_heartbeat(self, heartbeat):
         environment = self._environment
         now = environment.timer.now()
-        known = environment.membership.find_incarnation(heartbeat.sender)
+        self._reconnect_if_due(heartbeat)
         environment.membership.hear(heartbeat, now)
-        if heartbeat.incarnation > known:
-            environment.peers.reconnect(heartbeat.sender)
         environment.kept.hear((heartbeat.sender, heartbeat.incarnation), now)
         if environment.keeping.note_incarnation(
             heartbeat.sender, heartbeat.incarnation
@@ -150,6 +148,21 @@
         ):
             self._fetch_configuration(heartbeat.sender)
 
+    def _reconnect_if_due(self, heartbeat):
+        """Connect anew to a peer that listens anew.
+
+        A peer heard for the first time, or after silence, may have been
+        there all the while; its connection is left alone if it stands, for
+        what waits on it would be dropped.
+        """
+        membership = self._environment.membership
+        peers = self._environment.peers
+        sender = heartbeat.sender
+        if membership.is_restarted(heartbeat) or (
+            membership.is_unheard(sender) and not peers.is_connected(sender)
+        ):
+            peers.reconnect(sender)
+
     def _fetch_configuration(self, peer):
         sender, incarnation = self._environment.identity
         self._environment.peers.send(
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -279,8 +279,9 @@
 
     async def _follow_configuration(self):
         tail = self.environment.config_tail
+        wait_s = log.find_read_wait(self.environment.settings.control.lease_s)
         while True:
-            if not await tail.read_once(log.READ_WAIT_S):
+            if not await tail.read_once(wait_s):
                 await self.environment.timer.sleep(log.PAUSE_AFTER_FAILURE_S)
             if tail.gap:
                 tail.gap = False
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -14,6 +14,8 @@
 from arbutuschute import errors
 
 READ_WAIT_S = 1.0
+# Two holds, a time limit and two heartbeats have to fit into a lease.
+READS_PER_LEASE = 8
 READ_LIMIT_RECORDS = 1000
 PAUSE_AFTER_FAILURE_S = 0.2
 
@@ -95,6 +97,15 @@
             return result.Failure(errors.StoreDown(url))
 
 
+def find_read_wait(lease_s):
+    """Return the seconds that the log may hold a read of a leased stream.
+
+    What a read proves is as old as its asking. Just before an answer the
+    last proof is two holds old, and a peer hears of it later still.
+    """
+    return min(READ_WAIT_S, lease_s / READS_PER_LEASE)
+
+
 class Tail:
     """The task that follows one stream and publishes its records.
 
--- a/arbutuschute/links/peer.py
+++ b/arbutuschute/links/peer.py
@@ -104,6 +104,17 @@
         address = self._addresses[name]
         self._pushes[name] = (address, self._open(address, immediate))
 
+    def is_connected(self, name):
+        """Tell whether what is sent to a peer now would leave.
+
+        A connection that is opened for a first message counts: the message
+        waits on it.
+        """
+        if name not in self._pushes:
+            return True
+        events = self._pushes[name][1].getsockopt(zmq.EVENTS)
+        return bool(events & zmq.POLLOUT)
+
     def reconnect(self, name):
         """Connect anew at once to a peer that has come back.
 
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -26,6 +26,7 @@
     zone: str
     region: str
     incarnation: int = 0
+    last_incarnation: int = 0
     state: str = 'live'
     heard_at: float = float('-inf')
     sent_at: float | None = None
@@ -93,6 +94,7 @@
         if heartbeat.incarnation > member.incarnation:
             self._bury(member)
             member.incarnation = heartbeat.incarnation
+            member.last_incarnation = heartbeat.incarnation
             member.sent_at = None
             member.stated_at = None
         if member.sent_at is not None and heartbeat.sent_at < member.sent_at:
@@ -206,10 +208,16 @@
             )
         ]
 
-    def find_incarnation(self, name):
-        """Return the incarnation last heard of a member, 0 if none."""
+    def is_unheard(self, name):
+        """Tell whether a member was never heard, or taken for dead."""
         member = self.members.get(name)
-        return member.incarnation if member else 0
+        return member is None or not member.incarnation
+
+    def is_restarted(self, heartbeat):
+        """Tell whether a member that was heard before has a newer life."""
+        member = self.members.get(heartbeat.sender)
+        known = member.last_incarnation if member else 0
+        return 0 < known < heartbeat.incarnation
 
     def find_relays(self):
         """Return the names of each zone's relays, by zone.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -87,3 +87,25 @@
         assert not link.send('nobody', message)
     finally:
         link.close()
+
+
+async def test_a_connection_that_stands_is_told_from_one_that_is_sought(
+    no_retries,
+):
+    port_a, port_b = world.find_free_ports(2)
+    keys = world.make_keys()
+    ours = peer.PeerLink(make_peers(port_a, keys), Sink())
+    ours.connect({'b': f'{world.HOST}:{port_b}'}, {'b'})
+    await asyncio.sleep(0.1)
+    assert not ours.is_connected('b')
+    theirs = peer.PeerLink(make_peers(port_b, keys), Sink())
+    first, receiving = await receive_one(theirs)
+    try:
+        ours.reconnect('b')
+        assert await send_until(ours, 'b', first)
+        assert ours.is_connected('b')
+        assert ours.is_connected('nobody')
+    finally:
+        receiving.cancel()
+        ours.close()
+        theirs.close()
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -197,3 +197,18 @@
     standing = make_standing(region='qc-est', members=(relay,))
     found = lease.find_confirmation(standing, 100.0, LEASE_S, STORE)
     assert found == 92.0
+
+
+def test_a_return_from_silence_is_told_from_a_restart():
+    known = membership.Membership('me', 'z', STORE, suspect_s=4.0)
+    first = make_heartbeat('p', 0.0, incarnation=7)
+    assert known.is_unheard('p')
+    assert not known.is_restarted(first)
+    known.hear(first, 0.0)
+    assert not known.is_unheard('p')
+    known.take_dead(1000.0)
+    assert known.is_unheard('p')
+    assert not known.is_restarted(make_heartbeat('p', 1.0, incarnation=7))
+    assert known.is_restarted(make_heartbeat('p', 0.0, incarnation=8))
+    known.hear(make_heartbeat('p', 0.0, incarnation=8), 1001.0)
+    assert not known.is_restarted(make_heartbeat('p', 0.2, incarnation=8))
