Let a topic own its period and its records; write unsent evidence again

Three followers each sorted, split and checked the records of a topic, and RolloutTask reset state of the topic so as not to spin; evidence of a roll-out whose write failed was noted as sent, so that an instance whose counts then stood still was never heard. Excluded: a change of what is read or when; only the place of it moves. Change: Topic takes apply, remove and keep_only, logs what is malformed, and rests; evidence is noted as sent when it was written, else logged and sent with the next period. Before: test_evidence_that_could_not_be_written_is_written_later fails (no second write).

--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -30,31 +30,39 @@
 RETURN_AFTER_OUTAGE_S = 2.0
 
 
+def _ignore(_):
+    pass
+
+
 class Topic:
     """The position of a reader in a keyed topic.
 
-    With ``mates``, what is new comes from the zone's reader while that is
-    well, and else from the store.
+    ``apply(record)`` takes each record with a value and may raise
+    ``msgspec.DecodeError``; ``remove(key)`` each deletion. ``keep_only``
+    takes the names found when the topic is read from its beginning. With
+    ``mates``, what is new comes from the zone's reader while that is well,
+    and else from the store.
     """
 
-    __slots__ = ('_apply', '_log', '_mates', '_sharing', '_start', '_store',
-                 '_timer', '_topic', 'failing', 'is_shared', 'position',
-                 'proved_at')  # fmt: skip
+    __slots__ = ('_apply', '_keep_only', '_log', '_mates', '_remove',
+                 '_sharing', '_store', '_timer', '_topic', '_was_held',
+                 'failing', 'position', 'proved_at')  # fmt: skip
 
-    def __init__(self, store, timer, topic, log, start, apply, mates=None,
-                 sharing=None):  # fmt: skip
+    def __init__(self, store, timer, topic, log, apply, remove=_ignore,
+                 keep_only=_ignore, mates=None, sharing=None):  # fmt: skip
         self._store = store
         self._timer = timer
         self._topic = topic
         self._log = log
-        self._start = start
         self._apply = apply
+        self._remove = remove
+        self._keep_only = keep_only
         self._mates = mates
         self._sharing = sharing
         self.position = None
         self.failing = False
-        # Whether the last reading came from a mate, which waits for news.
-        self.is_shared = False
+        # Whether a mate answered last, which holds a reading without news.
+        self._was_held = False
         # When the store had nothing newer than what has been read.
         self.proved_at = float('-inf')
 
@@ -71,15 +79,28 @@
         self._note(answer)
         return answer
 
+    async def rest(self, period_s):
+        """Return when it is time to read again.
+
+        After a reading that a mate held that is at once.
+        """
+        was_held, self._was_held = self._was_held, False
+        if not was_held:
+            await self._timer.sleep(period_s)
+
     async def _read_newest(self):
         asked_at = self._timer.now()
         answer = await self._store.read_newest(self._topic)
         if isinstance(answer, result.Failure):
             return answer
         records, end = answer.unwrap()
-        self._start(sorted(records, key=lambda record: record.offset))
+        for record in sorted(records, key=lambda record: record.offset):
+            self._take_in(record)
+        # What the first pages do not hold may come with the records after
+        # them; those are read at once.
+        self._keep_only({r.key for r in records if r.value is not None})
         self.position = end
-        self.is_shared = False
+        self._was_held = False
         self.proved_at = asked_at
         self._tell_mates(end, (), asked_at)
         return result.Success(True)
@@ -91,7 +112,7 @@
             page = await self._mates.read(
                 self._topic, self.position, self._sharing
             )
-        self.is_shared = page is not None
+        self._was_held = page is not None
         if page is None:
             answer = await self._read_store(wait_s)
             if isinstance(answer, result.Failure):
@@ -128,9 +149,23 @@
         for number, raw in enumerate(page.records):
             record = store_module.split_keyed(raw, page.start + number)
             if record is not None:
-                self._apply(record)
+                self._take_in(record)
         self.position = page.next
 
+    def _take_in(self, record):
+        if record.value is None:
+            self._remove(record.key)
+            return
+        try:
+            self._apply(record)
+        except msgspec.DecodeError as error:
+            self._log.error(
+                'record malformed',
+                topic=self._topic,
+                key=record.key,
+                cause=str(error),
+            )
+
     def _note(self, answer):
         """Log when the topic is lost or regained."""
         failed = isinstance(answer, result.Failure)
@@ -167,8 +202,8 @@
             SHARED_WAIT_SHARE * self._wait_s, self._wait_s + LATE_S
         )
         self._topic = Topic(
-            store, timer, configuration.TOPIC, log, self._start, self._apply,
-            mates, sharing,
+            store, timer, configuration.TOPIC, log, self._apply,
+            mates=mates, sharing=sharing,
         )  # fmt: skip
 
     @property
@@ -176,23 +211,12 @@
         """The offset of the next record to come, None before the first."""
         return self._topic.position
 
-    def _start(self, records):
-        for record in records:
-            self._apply(record)
-
     def _apply(self, record):
-        if record.value is None:
-            return
-        try:
-            if record.key == configuration.CONFIGURATION_KEY:
-                self._tables.append(record)
-            elif record.key.startswith(configuration.ROLLOUT_PREFIX):
-                self._apply_order(
-                    configuration.decode_order(record.value, record.offset)
-                )
-        except msgspec.DecodeError as error:
-            self._log.error(
-                'record malformed', key=record.key, cause=str(error)
+        if record.key == configuration.CONFIGURATION_KEY:
+            self._tables.append(record)
+        elif record.key.startswith(configuration.ROLLOUT_PREFIX):
+            self._apply_order(
+                configuration.decode_order(record.value, record.offset)
             )
 
     def _accept_tables(self):
@@ -250,8 +274,8 @@
             self._period_s + LATE_S, self._period_s + LATE_S
         )
         self._topic = Topic(
-            store, timer, directory_records.TOPIC, log, self._start,
-            self._apply, mates, sharing,
+            store, timer, directory_records.TOPIC, log, self._apply,
+            self._remove, directory.keep_only, mates, sharing,
         )  # fmt: skip
 
     @property
@@ -259,18 +283,7 @@
         """Whether the last reading failed."""
         return self._topic.failing
 
-    def _start(self, records):
-        for record in records:
-            self._apply(record)
-        # What the first pages do not hold may come with the records after
-        # them; those are read at once.
-        named = {r.key for r in records if r.value is not None}
-        self._directory.keep_only(named)
-
     def _apply(self, record):
-        if record.value is None:
-            self._remove(record.key)
-            return
         entry = directory_records.decode_entry(record.key, record.value)
         if entry is None:
             self._log.debug('server entry malformed', server=record.key)
@@ -304,5 +317,4 @@
                 await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
             elif answer.unwrap():
                 self.is_loaded = True
-                if not self._topic.is_shared:
-                    await self._timer.sleep(self._period_s)
+                await self._topic.rest(self._period_s)
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -1,6 +1,5 @@
 """The task that carries roll-outs: evidence, steps and their status."""
 
-import msgspec
 from returns import result
 
 from arbutuschute.platform import configuration
@@ -39,23 +38,12 @@
             PERIOD_S, PERIOD_S * PERIOD_SPREAD[1] + followers.LATE_S
         )
         self._topic = followers.Topic(
-            store, timer, TOPIC, log, self._start, self._apply, mates, sharing
-        )
-
-    def _start(self, records):
-        for record in records:
-            self._apply(record)
+            store, timer, TOPIC, log, self._apply, mates=mates,
+            sharing=sharing,
+        )  # fmt: skip
 
     def _apply(self, record):
-        if record.value is None:
-            return
-        try:
-            found = canary.decode(record.value)
-        except msgspec.DecodeError as error:
-            self._log.error(
-                'record malformed', key=record.key, cause=str(error)
-            )
-            return
+        found = canary.decode(record.value)
         rollout = self._rollouts.accept(found)
         if rollout is not None and isinstance(found, canary.Step):
             self._log.info(
@@ -78,11 +66,9 @@
         while isinstance(await self._topic.read(), result.Failure):
             await self._timer.sleep(followers.PAUSE_AFTER_FAILURE_S)
         while True:
-            if not self._topic.is_shared:
-                await self._timer.sleep(
-                    PERIOD_S * self._random.uniform(*PERIOD_SPREAD)
-                )
-            self._topic.is_shared = False
+            await self._topic.rest(
+                PERIOD_S * self._random.uniform(*PERIOD_SPREAD)
+            )
             for rollout in list(self._rollouts.by_service.values()):
                 if rollout.is_settled:
                     continue
@@ -123,9 +109,16 @@
                 return
         elif not evidence.new and not evidence.old:
             return
-        self._sent[rollout.order.service] = evidence, now
         key = f'evidence/{rollout.order.service}/{self._identity}'
-        await self._store.put(TOPIC, key, canary.encode(evidence))
+        answer = await self._store.put(TOPIC, key, canary.encode(evidence))
+        if isinstance(answer, result.Failure):
+            self._log.warning(
+                'rollout evidence not written',
+                service=rollout.order.service,
+                cause=answer.failure().detail,
+            )
+            return
+        self._sent[rollout.order.service] = evidence, now
 
     async def _put_step(self, rollout, step):
         """Write a step unless something came since we read; tell whether."""
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -179,3 +179,42 @@
     found = directory.decode_entry('i-1', raw)
     assert found is None or found.service
     store.split_keyed(raw, 0)
+
+
+class HoldingMates:
+    """A zone's reader that holds readings, or answers none."""
+
+    def __init__(self):
+        self.is_well = True
+
+    async def read(self, topic, start, sharing):
+        if not self.is_well:
+            return None
+        return store.Page(start, start, start, (), 0.0)
+
+    def note_reading(self, topic, start, records, proved_at):
+        pass
+
+
+def test_a_reading_held_by_a_mate_is_followed_at_once_by_the_next():
+    async def scenario():
+        timer = Timer()
+        mates = HoldingMates()
+        script = ScriptedStore(timer, [(0.0, 0.0, False)] * 9, [])
+        topic = followers.Topic(
+            script, timer, 't', Log(), lambda record: None, mates=mates
+        )
+        assert (await topic.read()).unwrap()
+        await topic.rest(1.0)
+        assert timer.now() == 1.0
+        assert (await topic.read()).unwrap()
+        await topic.rest(1.0)
+        assert timer.now() == 1.0
+        await topic.rest(1.0)
+        assert timer.now() == 2.0
+        mates.is_well = False
+        assert (await topic.read()).unwrap()
+        await topic.rest(1.0)
+        assert timer.now() == 3.0
+
+    asyncio.run(scenario())
--- a/tests/test_rollout_writers.py
+++ b/tests/test_rollout_writers.py
@@ -202,3 +202,31 @@
     shared.statuses.insert(0, configuration.encode_status(ORDER, other))
     with pytest.raises(AssertionError):
         check(shared, rollout)
+
+
+class RefusingStore(SteppedStore):
+    """A store that takes no write until it is told to."""
+
+    def __init__(self):
+        super().__init__(lost_put=None)
+        self.is_refusing = True
+
+    async def put(self, topic, key, value, at=None):
+        if self.is_refusing:
+            return result.Failure(errors.StoreDown('503'))
+        return await super().put(topic, key, value, at)
+
+
+def test_evidence_that_could_not_be_written_is_written_later():
+    shared = RefusingStore()
+    shared.seed(canary.Step(7, 's', 0, canary.Phase.RUNNING, 0.5))
+    task = make_instance(shared, 'a', 0)
+    run_alone(task._topic.read())
+    (rollout,) = task._rollouts.by_service.values()
+    run_alone(task._put_evidence(rollout))
+    assert shared.puts == 0
+    shared.is_refusing = False
+    run_alone(task._put_evidence(rollout))
+    assert shared.puts == 1
+    run_alone(task._put_evidence(rollout))
+    assert shared.puts == 1
