Mend the benchmarks: the documents of the tests have moved

Cause: make_profile went from tests.deployment to tests.documents; nothing ran the benchmarks since. Excluded: a change of what they measure. Change: the names; a test that every name which a benchmark takes of a module is there. Before: AttributeError at start.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -25,6 +25,7 @@
 from arbutuschute.policy import pace
 from arbutuschute.policy import rollout
 from tests import deployment
+from tests import documents
 
 WATCH_S = 10.0
 FLEETS = ((2, 2), (4, 4), (12, 5), (20, 3))
@@ -85,7 +86,7 @@
 async def measure_fleet(zones, per_zone, engines=0):
     """Return what the least and the most connected router spend idle."""
     async with deployment.Deployment() as deployed:
-        await deployed.publish_basics(deployment.make_profile())
+        await deployed.publish_basics(documents.make_profile())
         for number in range(engines):
             name = f'e{number}'
             await deployed.start_engine(name, ['rapport:1'])
@@ -121,13 +122,13 @@
 async def measure_in_force():
     """Return seconds from a publication to being in force everywhere."""
     async with deployment.Deployment() as deployed:
-        await deployed.publish_basics(deployment.make_profile())
+        await deployed.publish_basics(documents.make_profile())
         names = [(f'r{n}', f'z{n % 3}') for n in range(7)]
         await deployed.start_routers(*names, **STEADY)
         times = []
         offset = 1
         for number in range(CHANGES):
-            document = deployment.make_profile(
+            document = documents.make_profile(
                 limits={'in_flight': 10 + number}
             )
             change = {
@@ -172,7 +173,7 @@
 def measure_objects():
     """Return bytes and microseconds per object of each kind of state."""
     profile = profiles.check_profile(
-        deployment.make_profile(
+        documents.make_profile(
             versions=tuple(f'm{i}:{v}' for i in range(6) for v in (1, 2))
         )
     ).unwrap()
@@ -271,7 +272,7 @@
     no_pace = pace.Pace()
     rng = random.Random(1)
     profile = profiles.check_profile(
-        deployment.make_profile(versions=('m:1', 'm:2'))
+        documents.make_profile(versions=('m:1', 'm:2'))
     ).unwrap()
     state = fold.Configuration()
     claimed = claims.Claims(1e9)
--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -15,6 +15,7 @@
 
 from arbutuschute.standin import world
 from tests import deployment
+from tests import documents
 
 SECONDS = 5.0
 WORKERS = 24
@@ -88,7 +89,7 @@
             '--slots', '1000',
         )  # fmt: skip
     limits = {'in_flight': 1000}
-    await deployed.publish_basics(deployment.make_profile(limits=limits))
+    await deployed.publish_basics(documents.make_profile(limits=limits))
     await deployed.start_routers(
         ('r1', 'mtl-a'), ('r2', 'sherbrooke-a'), ('r3', 'rimouski-a'),
         heartbeat_s=1.0, suspect_s=4.0, lease_s=10.0, instances_s=1.0,
--- /dev/null
+++ b/tests/test_benchmarks.py
@@ -0,0 +1,26 @@
+"""The benchmarks use what the tests' helpers have."""
+
+import ast
+import importlib
+import pathlib
+
+import pytest
+
+import benchmarks
+
+FOLDER = pathlib.Path(benchmarks.__file__).parent
+MODULES = sorted(path.stem for path in FOLDER.glob('[a-z]*.py'))
+
+
+@pytest.mark.parametrize('name', MODULES)
+def test_a_benchmark_names_only_what_its_modules_have(name):
+    module = importlib.import_module(f'benchmarks.{name}')
+    tree = ast.parse((FOLDER / f'{name}.py').read_text())
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Attribute):
+            continue
+        if not isinstance(node.value, ast.Name):
+            continue
+        owner = getattr(module, node.value.id, None)
+        if getattr(owner, '__file__', None) is not None:
+            assert hasattr(owner, node.attr), f'{node.value.id}.{node.attr}'
