Leave a store that is away to the zone's reader; prove its return at once

And after its return the operator's topic was asked with a wait of 1.8 s, so that the lease, and service, came back only after it. Excluded: evidence of roll-outs (241 writes), entries of servers (130 reads). Change: a mate whose reader answers, but has nothing recent, tries the store itself for a second and then every 1.5 s at most; a reader is at fault only if the store can be read from here; after a failure the operator's topic is asked without a wait.

--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -17,7 +17,13 @@
 # that leaves has to be noticed within the deployment's bound: this much of
 # it may pass between two readings, the rest is for slow answers.
 SERVERS_SHARE_OF_BOUND = 0.55
-PAUSE_AFTER_FAILURE_S = 0.15
+PAUSE_AFTER_FAILURE_S = 0.25
+# While the store is away its zone's reader tries it at that pace, and the
+# mates ask the reader. They still try the store themselves, as it may be
+# away for the reader alone: at the same pace for the first time, within
+# which a server's leaving has to be noticed, then at most this often.
+DIRECT_TRIES_S = 1.0
+DIRECT_PAUSE_MOST_S = 1.5
 # An answer with news proves nothing of the time that it was waited for; the
 # next one comes sooner, for those who rest on this instance's proofs.
 WAIT_SHARE_AFTER_NEWS = 0.2
@@ -44,9 +50,10 @@
     and else from the store.
     """
 
-    __slots__ = ('_apply', '_keep_only', '_log', '_mates', '_remove',
-                 '_sharing', '_store', '_timer', '_topic', '_was_held',
-                 'failing', 'position', 'proved_at')  # fmt: skip
+    __slots__ = ('_apply', '_direct_at', '_direct_pause_s', '_keep_only',
+                 '_log', '_mates', '_remove', '_sharing', '_store', '_timer',
+                 '_topic', '_was_held', 'failing', 'position',
+                 'proved_at')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, mates=None, sharing=None):  # fmt: skip
@@ -63,6 +70,9 @@
         self.failing = False
         # Whether a mate answered last, which holds a reading without news.
         self._was_held = False
+        # From when on the store may be asked again after failures.
+        self._direct_at = float('-inf')
+        self._direct_pause_s = 0.0
         # When the store had nothing newer than what has been read.
         self.proved_at = float('-inf')
 
@@ -114,7 +124,10 @@
             )
         self._was_held = page is not None
         if page is None:
+            if not is_direct and self._timer.now() < self._direct_at:
+                return result.Failure(errors.StoreDown('left to the reader'))
             answer = await self._read_store(wait_s)
+            self._pace_direct(answer)
             if isinstance(answer, result.Failure):
                 return answer
             page = answer.unwrap()
@@ -125,6 +138,22 @@
         self._accept(page)
         return result.Success(page.next >= page.end)
 
+    def _pace_direct(self, answer):
+        """Ask a store that is away less often where a mate asks it too."""
+        now = self._timer.now()
+        if isinstance(answer, result.Success):
+            self._direct_pause_s = 0.0
+            return
+        if self._mates is None or not self._mates.is_led:
+            return
+        if now - self.proved_at < self._sharing.age_most_s + DIRECT_TRIES_S:
+            return
+        self._direct_pause_s = min(
+            max(2 * self._direct_pause_s, PAUSE_AFTER_FAILURE_S),
+            DIRECT_PAUSE_MOST_S,
+        )
+        self._direct_at = now + self._direct_pause_s
+
     async def _read_store(self, wait_s):
         asked_at = self._timer.now()
         answer = await self._store.read(self._topic, self.position, wait_s)
@@ -247,6 +276,8 @@
             if self._topic.position != position:
                 wait_s *= WAIT_SHARE_AFTER_NEWS
             if isinstance(answer, result.Failure):
+                # An answer at once proves sooner that the store is back.
+                wait_s = 0.0
                 await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
             elif answer.unwrap():
                 self._freshness.prove(self._topic.proved_at)
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -44,9 +44,10 @@
 class ZoneReader:
     """Reads topics at the zone's reader; takes that role when none serves."""
 
-    __slots__ = ('_cause', '_entry', '_failing_since', '_is_well', '_key',
-                 '_log', '_own', '_random', '_retry_at', '_session', '_store',
-                 '_tails', '_timer')  # fmt: skip
+    __slots__ = ('_cause', '_does_answer', '_entry', '_failing_since',
+                 '_is_well', '_key', '_log', '_own', '_random', '_retry_at',
+                 '_session', '_stale', '_store', '_tails',
+                 '_timer')  # fmt: skip
 
     def __init__(self, store, session, timer, log, random, tails, zone,
                  address, identity):  # fmt: skip
@@ -63,6 +64,9 @@
         self._failing_since = timer.now()
         # Whether the log says so; single failures are not told.
         self._is_well = False
+        self._does_answer = False
+        # Why its last answer was too old, None if it was not.
+        self._stale = None
         self._cause = ''
 
     @property
@@ -72,6 +76,11 @@
             self._entry.address == self._own.address
         )
 
+    @property
+    def is_led(self):
+        """Whether another instance reads for this one and answers it."""
+        return self._does_answer and not self.is_reader
+
     async def read(self, topic, start, sharing, proved_at):
         """Return a ``Page`` from the zone's reader; None: ask the store.
 
@@ -95,12 +104,13 @@
         if isinstance(answer, result.Failure):
             failure = answer.failure()
             if isinstance(failure, errors.ReaderSilent):
+                self._does_answer = False
                 self._note_failure(failure.detail)
             return None
+        self._does_answer = True
         share = answer.unwrap()
         if share.age_s > sharing.age_most_s:
-            # Others of its topics may be well; it has no time to rest.
-            self._note_failure(f'{topic} is {share.age_s:.2f} s old', 0.0)
+            self._stale = f'{topic} is {share.age_s:.2f} s old'
             return None
         self._note_success(entry)
         return store_module.Page(
@@ -108,7 +118,15 @@
         )
 
     def note_reading(self, topic, start, records, proved_at):
-        """Keep for zone mates what was read from the store."""
+        """Keep for zone mates what was read from the store.
+
+        A reader whose answer was too old is at fault if the store can be
+        read from here. Others of its topics may be well: it is not left
+        alone for that.
+        """
+        if self._stale is not None:
+            self._note_failure(self._stale, 0.0)
+            self._stale = None
         self._tails.extend(topic, start, records, proved_at)
 
     def _note_failure(self, cause, rest_s=RETRY_AFTER_S):
@@ -120,6 +138,7 @@
 
     def _note_success(self, entry):
         self._failing_since = None
+        self._stale = None
         if not self._is_well:
             self._is_well = True
             self._log.info('zone reader found', reader=entry.address)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -185,7 +185,7 @@
     """A zone's reader that holds readings, or answers none."""
 
     def __init__(self):
-        self.is_well = True
+        self.is_well = self.is_led = True
 
     async def read(self, topic, start, sharing, proved_at):
         if not self.is_well:
