Do not take a server for dark while it reads a long prompt

Cause: a server that sends nothing on any of our connections for 0.9 s was taken for dark. With many instances each has one request or two at an engine, so that an engine that reads a long prompt for a large model (1 to 3 s) was left and the prompt sent to another, which read it anew (attempt 3 of most late large prompts in a trial that printed each first event). Excluded: placement (prefer the engine that begins soonest) and the learned time of a token (median 1.0 to 1.2 of the expected up to 30,000 tokens, 1.4 to 1.9 beyond; one in ten over twice). Change: the limit of silence grows with the time that the prompt is expected to take, twice that and 0.3 s.

--- a/arbutuschute/traffic/patience.py
+++ b/arbutuschute/traffic/patience.py
@@ -9,9 +9,22 @@
 # A server that works sends something on one of our connections several times
 # in this time; one that sends nothing at all has gone dark.
 DARK_AFTER_S = 0.9
+# Unless ours is all that it has: then it is silent while it reads a long
+# prompt. One prompt in ten takes over twice as long as expected.
+READING_TIMES = 2.0
+READING_MARGIN_S = 0.3
 
 
-async def wait_for(parts, request, server, make_wait, patience_s):
+def find_dark_limit(reading_s):
+    """Return seconds of silence after which a server is taken for dark.
+
+    ``reading_s`` is how long it is expected to read the prompt.
+    """
+    return max(DARK_AFTER_S, READING_MARGIN_S + READING_TIMES * reading_s)
+
+
+async def wait_for(parts, request, server, make_wait, patience_s,
+                   dark_limit_s=DARK_AFTER_S):  # fmt: skip
     """Return what ``make_wait()`` brings from a server.
 
     ``make_wait`` returns a coroutine that may be cancelled and made anew.
@@ -26,10 +39,13 @@
             async with asyncio.timeout(CHECK_PERIOD_S):
                 return await make_wait()
         except TimeoutError:
-            _check_silence(parts, request, server, began, patience_s)
+            _check_silence(
+                parts, request, server, began, patience_s, dark_limit_s
+            )
 
 
-async def wait_for_task(parts, request, server, wait, patience_s):
+async def wait_for_task(parts, request, server, wait, patience_s,
+                        dark_limit_s=DARK_AFTER_S):  # fmt: skip
     """Do the same for a coroutine that can't be made anew."""
     if not request.route.is_repeatable:
         return await wait
@@ -40,15 +56,17 @@
             done, _ = await asyncio.wait({task}, timeout=CHECK_PERIOD_S)
             if done:
                 return task.result()
-            _check_silence(parts, request, server, began, patience_s)
+            _check_silence(
+                parts, request, server, began, patience_s, dark_limit_s
+            )
     finally:
         task.cancel()
 
 
-def _check_silence(parts, request, server, began, patience_s):
+def _check_silence(parts, request, server, began, patience_s, dark_limit_s):
     now = parts.now()
     dark_s = now - max(server.heard_at, began)
-    if dark_s < DARK_AFTER_S and now - began < patience_s:
+    if dark_s < dark_limit_s and now - began < patience_s:
         return
     if sending.may_repeat(parts, request, errors.Ran.UNKNOWN):
         raise errors.ServerSilent(
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -71,12 +71,15 @@
     patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     began = parts.now()
     opened = parts.open_attempt(server, request, left_s, stream.last_id)
-    server.waits.begin(request, parts.units.expect(request), began)
+    reading_s = parts.units.expect(request)
+    server.waits.begin(request, reading_s, began)
+    dark_limit_s = patience.find_dark_limit(reading_s)
     attempt = None
     try:
         attempt = await patience.wait_for_task(
-            parts, request, server, opened.__aenter__(), patience_s
-        )
+            parts, request, server, opened.__aenter__(), patience_s,
+            dark_limit_s,
+        )  # fmt: skip
     finally:
         server.waits.finish(request, parts.now(), attempt is not None)
     try:
@@ -90,7 +93,9 @@
             return await _read_failure(parts, server, stream, attempt)
         if not stream.is_started:
             _drop_if_unsure(parts, request, server, head)
-        await _relay(parts, request, server, stream, attempt, began)
+        await _relay(
+            parts, request, server, stream, attempt, began, dark_limit_s
+        )
     finally:
         await opened.__aexit__(None, None, None)
     request.note_ran(errors.Ran.YES)
@@ -142,12 +147,13 @@
     return answer
 
 
-async def _relay(parts, request, server, stream, attempt, began):
+async def _relay(parts, request, server, stream, attempt, began,
+                 dark_limit_s):  # fmt: skip
     splitter = events.Splitter()
     patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     while True:
         chunk = await patience.wait_for(
-            parts, request, server, attempt.read, patience_s
+            parts, request, server, attempt.read, patience_s, dark_limit_s
         )
         server.heard_at = parts.now()
         if not chunk:
@@ -156,6 +162,7 @@
         if not whole:
             continue
         patience_s = GAP_TARGETS * request.route.gap_target_s
+        dark_limit_s = patience.DARK_AFTER_S
         await _pass_on(parts, request, server, stream, attempt, whole, began)
         stream.last_id = splitter.last_id or stream.last_id
     if splitter.is_cut:
