Let mates try a store that is away ever more rarely, from the first failure

Excluded: the reader's pace (six zones). Change: a mate pauses from its first failure on, 0.5 s, doubled up to 2 s.

--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -20,10 +20,10 @@
 PAUSE_AFTER_FAILURE_S = 0.25
 # While the store is away its zone's reader tries it at that pace, and the
 # mates ask the reader. They still try the store themselves, as it may be
-# away for the reader alone: at the same pace for the first time, within
-# which a server's leaving has to be noticed, then at most this often.
-DIRECT_TRIES_S = 1.0
-DIRECT_PAUSE_MOST_S = 1.5
+# away for the reader alone: once more within the time in which a server's
+# leaving has to be noticed, then ever more rarely.
+DIRECT_PAUSE_FIRST_S = 0.5
+DIRECT_PAUSE_MOST_S = 2.0
 # An answer with news proves nothing of the time that it was waited for; the
 # next one comes sooner, for those who rest on this instance's proofs.
 WAIT_SHARE_AFTER_NEWS = 0.2
@@ -146,10 +146,8 @@
             return
         if self._mates is None or not self._mates.is_led:
             return
-        if now - self.proved_at < self._sharing.age_most_s + DIRECT_TRIES_S:
-            return
         self._direct_pause_s = min(
-            max(2 * self._direct_pause_s, PAUSE_AFTER_FAILURE_S),
+            max(2 * self._direct_pause_s, DIRECT_PAUSE_FIRST_S),
             DIRECT_PAUSE_MOST_S,
         )
         self._direct_at = now + self._direct_pause_s
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -24,15 +24,11 @@
 BACK_AT = 32.0
 END = 40.0
 REFUSAL_S = 0.01
-# For each of two topics: the reader at its pace throughout; a mate at that
-# pace while a server's leaving may still be noticed in time, then rarely.
+# For each of two topics: the reader at its pace throughout; a mate at once,
+# while its pauses grow, and then rarely.
 DOWN_S = BACK_AT - DOWN_AT
 READER_CALLS = DOWN_S / followers.PAUSE_AFTER_FAILURE_S
-MATE_CALLS = (
-    followers.DIRECT_TRIES_S / followers.PAUSE_AFTER_FAILURE_S
-    + DOWN_S / followers.DIRECT_PAUSE_MOST_S
-    + 3
-)
+MATE_CALLS = DOWN_S / followers.DIRECT_PAUSE_MOST_S + 4
 CALLS_MOST = 2 * (READER_CALLS + (MATES - 1) * MATE_CALLS)
 REGAINED_WITHIN_S = 0.6
 
