--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -202,15 +202,9 @@
         self._timer.time += held_s
         known_at = self._timer.time - age_s
         known = [raw for at, raw in self._records if at <= known_at]
-        return result.Success(
-            tails.Share(
-                start,
-                max(len(known), start),
-                age_s,
-                held_s,
-                tuple(known[start:]),
-            )
-        )
+        end = max(len(known), start)
+        news = tuple(known[start:])
+        return result.Success(tails.Share(start, end, age_s, held_s, news))
 
 
 HOLDING_STEPS = strategies.lists(
