Pass the limits of a wait as one value; read the log at one pace in one place

Cause: found on reading the change. Two limits of one wait went side by side through five functions, one of them with a default, and the relay worked the first of them out a second time; three loops read the log once and paused after a failure. Change: patience.Limits holds both; Tail.read_next is what the three loops do. Behaviour stays: the same seconds at the same places.

--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -281,8 +281,7 @@
         tail = self.environment.config_tail
         wait_s = log.find_read_wait(self.environment.settings.control.lease_s)
         while True:
-            if not await tail.read_once(wait_s):
-                await self.environment.timer.sleep(log.PAUSE_AFTER_FAILURE_S)
+            await tail.read_next(wait_s)
             if tail.gap:
                 tail.gap = False
                 await self._load_configuration()
@@ -290,8 +289,7 @@
     async def _follow_claims(self):
         tail = self.environment.claims_tail
         while not tail.gap:
-            if not await tail.read_once(log.READ_WAIT_S):
-                await self.environment.timer.sleep(log.PAUSE_AFTER_FAILURE_S)
+            await tail.read_next()
         self.environment.log.error('claims were missed; starting anew')
         self._stopping.set()
 
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -145,8 +145,12 @@
     async def run(self):
         """Read on for ever."""
         while True:
-            if not await self.read_once(READ_WAIT_S):
-                await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
+            await self.read_next()
+
+    async def read_next(self, wait_s=READ_WAIT_S):
+        """Read one page, waiting for news; pause if the log is away."""
+        if not await self.read_once(wait_s):
+            await self._timer.sleep(PAUSE_AFTER_FAILURE_S)
 
     async def read_once(self, wait_s=0.0):
         """Read one page; tell whether the log answered."""
--- a/arbutuschute/traffic/patience.py
+++ b/arbutuschute/traffic/patience.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from arbutuschute import errors
 from arbutuschute.traffic import sending
 
@@ -15,16 +17,23 @@
 READING_MARGIN_S = 0.3
 
 
-def find_dark_limit(reading_s):
-    """Return seconds of silence after which a server is taken for dark.
+class Limits(msgspec.Struct, frozen=True):
+    """Seconds to wait for a server, and for one that is silent all over."""
+
+    total_s: float
+    dark_s: float = DARK_AFTER_S
+
+
+def find_reading_limits(total_s, reading_s):
+    """Return the ``Limits`` until the first event of an answer.
 
-    ``reading_s`` is how long it is expected to read the prompt.
+    ``reading_s`` is how long the server is expected to read the prompt.
     """
-    return max(DARK_AFTER_S, READING_MARGIN_S + READING_TIMES * reading_s)
+    dark_s = READING_MARGIN_S + READING_TIMES * reading_s
+    return Limits(total_s, max(DARK_AFTER_S, dark_s))
 
 
-async def wait_for(parts, request, server, make_wait, patience_s,
-                   dark_limit_s=DARK_AFTER_S):  # fmt: skip
+async def wait_for(parts, request, server, make_wait, limits):
     """Return what ``make_wait()`` brings from a server.
 
     ``make_wait`` returns a coroutine that may be cancelled and made anew.
@@ -39,13 +48,10 @@
             async with asyncio.timeout(CHECK_PERIOD_S):
                 return await make_wait()
         except TimeoutError:
-            _check_silence(
-                parts, request, server, began, patience_s, dark_limit_s
-            )
+            _check_silence(parts, request, server, began, limits)
 
 
-async def wait_for_task(parts, request, server, wait, patience_s,
-                        dark_limit_s=DARK_AFTER_S):  # fmt: skip
+async def wait_for_task(parts, request, server, wait, limits):
     """Do the same for a coroutine that can't be made anew."""
     if not request.route.is_repeatable:
         return await wait
@@ -56,17 +62,15 @@
             done, _ = await asyncio.wait({task}, timeout=CHECK_PERIOD_S)
             if done:
                 return task.result()
-            _check_silence(
-                parts, request, server, began, patience_s, dark_limit_s
-            )
+            _check_silence(parts, request, server, began, limits)
     finally:
         task.cancel()
 
 
-def _check_silence(parts, request, server, began, patience_s, dark_limit_s):
+def _check_silence(parts, request, server, began, limits):
     now = parts.now()
     dark_s = now - max(server.heard_at, began)
-    if dark_s < dark_limit_s and now - began < patience_s:
+    if dark_s < limits.dark_s and now - began < limits.total_s:
         return
     if sending.may_repeat(parts, request, errors.Ran.UNKNOWN):
         raise errors.ServerSilent(
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -68,18 +68,18 @@
 
 async def _open(parts, request, server, stream):
     left_s = request.deadline_at - parts.now()
-    patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     began = parts.now()
     opened = parts.open_attempt(server, request, left_s, stream.last_id)
     reading_s = parts.units.expect(request)
     server.waits.begin(request, reading_s, began)
-    dark_limit_s = patience.find_dark_limit(reading_s)
+    limits = patience.find_reading_limits(
+        FIRST_EVENT_TARGETS * request.route.target_s, reading_s
+    )
     attempt = None
     try:
         attempt = await patience.wait_for_task(
-            parts, request, server, opened.__aenter__(), patience_s,
-            dark_limit_s,
-        )  # fmt: skip
+            parts, request, server, opened.__aenter__(), limits
+        )
     finally:
         server.waits.finish(request, parts.now(), attempt is not None)
     try:
@@ -93,9 +93,7 @@
             return await _read_failure(parts, server, stream, attempt)
         if not stream.is_started:
             _drop_if_unsure(parts, request, server, head)
-        await _relay(
-            parts, request, server, stream, attempt, began, dark_limit_s
-        )
+        await _relay(parts, request, server, stream, attempt, began, limits)
     finally:
         await opened.__aexit__(None, None, None)
     request.note_ran(errors.Ran.YES)
@@ -147,13 +145,11 @@
     return answer
 
 
-async def _relay(parts, request, server, stream, attempt, began,
-                 dark_limit_s):  # fmt: skip
+async def _relay(parts, request, server, stream, attempt, began, limits):
     splitter = events.Splitter()
-    patience_s = FIRST_EVENT_TARGETS * request.route.target_s
     while True:
         chunk = await patience.wait_for(
-            parts, request, server, attempt.read, patience_s, dark_limit_s
+            parts, request, server, attempt.read, limits
         )
         server.heard_at = parts.now()
         if not chunk:
@@ -161,8 +157,7 @@
         whole = splitter.feed(chunk)
         if not whole:
             continue
-        patience_s = GAP_TARGETS * request.route.gap_target_s
-        dark_limit_s = patience.DARK_AFTER_S
+        limits = patience.Limits(GAP_TARGETS * request.route.gap_target_s)
         await _pass_on(parts, request, server, stream, attempt, whole, began)
         stream.last_id = splitter.last_id or stream.last_id
     if splitter.is_cut:
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -52,7 +52,7 @@
             request,
             server,
             _fetch(parts, request, server),
-            PATIENCE_TARGETS * request.route.target_s,
+            patience.Limits(PATIENCE_TARGETS * request.route.target_s),
         )
     finally:
         server.finish(parts.now())
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -47,8 +47,8 @@
     with pytest.raises(errors.ServerSilent):
         await patience.wait_for_task(
             types.SimpleNamespace(now=clock), request, server,
-            asyncio.sleep(99.0), patience_s,
-            patience.find_dark_limit(reading_s),
+            asyncio.sleep(99.0),
+            patience.find_reading_limits(patience_s, reading_s),
         )  # fmt: skip
     return clock() - began
 
@@ -70,8 +70,9 @@
 
 @pytest.mark.parametrize('reading_s', [0.0, 0.1, 0.3, 0.5, 1.0, 2.0])
 def test_limit_grows_with_the_prompt_and_never_falls_short(reading_s):
-    limit_s = patience.find_dark_limit(reading_s)
+    limit_s = patience.find_reading_limits(99.0, reading_s).dark_s
     assert limit_s >= max(
         patience.DARK_AFTER_S, patience.READING_TIMES * reading_s
     )
-    assert limit_s >= patience.find_dark_limit(reading_s / 2)
+    half = patience.find_reading_limits(99.0, reading_s / 2)
+    assert limit_s >= half.dark_s
