--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -81,14 +81,21 @@
     assert world.count_arrivals() == 0
 
 
-async def test_broken_chunks_end_only_their_connection(world):
-    await world.start()
+async def send_raw(world, path, rest):
+    """Send a head that is in order, and ``rest``; return the streams."""
     reader, writer = await world.connect()
     writer.write(
-        b'POST /again/x HTTP/1.1\r\nHost: a.example\r\n'
+        b'POST ' + path + b' HTTP/1.1\r\nHost: a.example\r\n'
         b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
-        b'Arbutuschute-Attempt-Id: r-1\r\n'
-        b'Transfer-Encoding: chunked\r\n\r\nnot a size\r\n'
+        b'Arbutuschute-Attempt-Id: r-1\r\n' + rest
+    )
+    return reader, writer
+
+
+async def test_broken_chunks_end_only_their_connection(world):
+    await world.start()
+    reader, writer = await send_raw(
+        world, b'/again/x', b'Transfer-Encoding: chunked\r\n\r\nnot a size\r\n'
     )
     answer = await asyncio.wait_for(reader.read(200), 5)
     assert b' 400 ' in answer.splitlines()[0]
@@ -220,12 +227,8 @@
 
 async def test_slow_body_is_refused(world):
     await world.start()
-    reader, writer = await world.connect()
-    writer.write(
-        b'POST /once/x HTTP/1.1\r\nHost: a.example\r\n'
-        b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
-        b'Arbutuschute-Attempt-Id: r-1\r\n'
-        b'Content-Length: 10\r\n\r\nhalf'
+    reader, writer = await send_raw(
+        world, b'/once/x', b'Content-Length: 10\r\n\r\nhalf'
     )
     answer = await asyncio.wait_for(reader.read(100), 5)
     assert answer.startswith(b'HTTP/1.1 408')
@@ -244,12 +247,10 @@
 
 async def test_two_ids_are_no_request(world):
     await world.start()
-    reader, writer = await world.connect()
-    writer.write(
-        b'POST /once/x HTTP/1.1\r\nHost: a.example\r\n'
-        b'Arbutuschute-Key: ' + standin.KEY.encode() + b'\r\n'
-        b'Arbutuschute-Attempt-Id: r-1\r\nArbutuschute-Attempt-Id: r-2\r\n'
-        b'Content-Length: 0\r\n\r\n'
+    reader, writer = await send_raw(
+        world,
+        b'/once/x',
+        b'Arbutuschute-Attempt-Id: r-2\r\nContent-Length: 0\r\n\r\n',
     )
     answer = await asyncio.wait_for(reader.read(200), 5)
     assert b' 400 ' in answer.splitlines()[0]
--- /dev/null
+++ b/tests/stepping.py
@@ -0,0 +1,46 @@
+"""Tasks that run together in a time that moves when all of them wait."""
+
+import asyncio
+import contextlib
+
+
+class SteppedTimer:
+    """Sleeps in a common time that moves when all sleep."""
+
+    def __init__(self):
+        self.time = 0.0
+        self._sleepers = []
+
+    def now(self):
+        return self.time
+
+    async def sleep(self, seconds):
+        done = asyncio.get_running_loop().create_future()
+        self._sleepers.append((self.time + seconds, id(done), done))
+        await done
+
+    async def run_until(self, end):
+        for _ in range(100_000):
+            for _ in range(10):
+                await asyncio.sleep(0)
+            if not self._sleepers:
+                return
+            at, key, done = min(self._sleepers)
+            if at > end:
+                self.time = end
+                return
+            self._sleepers.remove((at, key, done))
+            self.time = at
+            done.done() or done.set_result(None)
+
+
+@contextlib.asynccontextmanager
+async def run_together(coroutines):
+    """Run coroutines as tasks, yield those, and cancel them in the end."""
+    running = [asyncio.ensure_future(one) for one in coroutines]
+    try:
+        yield running
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -117,6 +117,12 @@
 )
 
 
+def run_out(follower):
+    """Run a follower until its script is at its end."""
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(follower.run())
+
+
 def follow(steps, revoked_at):
     """Follow the operator's records; return (newest version, lease)."""
     timer = Timer()
@@ -130,8 +136,7 @@
     follower = followers.OperatorFollower(
         scripted, timer, Log(), lease, tables.append, lambda _: None
     )
-    with contextlib.suppress(asyncio.CancelledError):
-        asyncio.run(follower.run())
+    run_out(follower)
     return tables[-1].version, lease
 
 
@@ -169,8 +174,7 @@
     healthy = [(0.01, 0.5, False)] * 12
     scripted = ScriptedStore(timer, [*steps, *healthy], records)
     follower = followers.ServerFollower(scripted, timer, Log(), made, 2.5)
-    with contextlib.suppress(asyncio.CancelledError):
-        asyncio.run(follower.run())
+    run_out(follower)
     assert set(made.servers) == {'i-2'}
 
 
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -77,15 +77,20 @@
     assert bench.commit.put_futures == []
 
 
-async def test_a_silent_keeper_is_passed_over_and_then_tried_again():
-    bench = Bench(['a', 'b', 'c'])
-    bench.silent = {'a'}
+async def open_past_silence(bench):
+    """Open a bill that waits on a silent keeper until that is left."""
     opening = asyncio.ensure_future(bench.owner.open(make_bill()))
     await asyncio.sleep(0.01)
     assert not opening.done()
     bench.clock.advance(keeping.ACK_TIMEOUT_S + 0.01)
     bench.owner.check()
     await asyncio.wait_for(opening, 5)
+
+
+async def test_a_silent_keeper_is_passed_over_and_then_tried_again():
+    bench = Bench(['a', 'b', 'c'])
+    bench.silent = {'a'}
+    await open_past_silence(bench)
     assert bench.find_held('c') == {'b1': bills.State.OPENED}
     bench.silent = set()
     bench.clock.advance(keeping.PAUSE_KEEPER_S)
@@ -178,9 +183,4 @@
         ['mate', 'mate2', 'far'], is_elsewhere=lambda name: name == 'far'
     )
     bench.silent = {'far'}
-    opening = asyncio.ensure_future(bench.owner.open(make_bill()))
-    await asyncio.sleep(0.01)
-    assert not opening.done()
-    bench.clock.advance(keeping.ACK_TIMEOUT_S + 0.01)
-    bench.owner.check()
-    await asyncio.wait_for(opening, 5)
+    await open_past_silence(bench)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -78,10 +78,15 @@
 """
 
 
-def test_story_of_a_request_is_told_by_instance_and_in_order():
-    told = testing.CliRunner().invoke(
-        definition.arbutuschute, ['story', 'q1'], input=LINES
+def run(command, name, lines):
+    """Run a command that tells of ``name`` from log lines."""
+    return testing.CliRunner().invoke(
+        definition.arbutuschute, [command, name], input=lines
     )
+
+
+def test_story_of_a_request_is_told_by_instance_and_in_order():
+    told = run('story', 'q1', LINES)
     assert told.exit_code == 0
     assert [line.strip() for line in told.output.splitlines()] == [
         'edge-a, from 2026-12-04T10:00:00+00:00',
@@ -93,9 +98,7 @@
 
 
 def test_story_of_an_unknown_request_says_so():
-    told = testing.CliRunner().invoke(
-        definition.arbutuschute, ['story', 'q9'], input=LINES
-    )
+    told = run('story', 'q9', LINES)
     assert told.exit_code != 0
     assert 'no line about q9' in told.output
 
@@ -113,9 +116,7 @@
 
 
 def test_timeline_lists_changes_and_counts_requests_between_them():
-    told = testing.CliRunner().invoke(
-        definition.arbutuschute, ['timeline', 'edge-a'], input=BELIEFS
-    )
+    told = run('timeline', 'edge-a', BELIEFS)
     assert told.exit_code == 0
     assert told.output.splitlines() == [
         '2026-12-04T10:00:01+00:00  store lost: topic=t cause=c',
@@ -126,8 +127,6 @@
 
 
 def test_timeline_of_an_unknown_instance_says_so():
-    told = testing.CliRunner().invoke(
-        definition.arbutuschute, ['timeline', 'edge-z'], input=BELIEFS
-    )
+    told = run('timeline', 'edge-z', BELIEFS)
     assert told.exit_code != 0
     assert 'no line of edge-z' in told.output
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -4,7 +4,6 @@
 as they do. No network; time moves only while all wait.
 """
 
-import asyncio
 import random
 
 import pytest
@@ -16,6 +15,7 @@
 from arbutuschute.platform import readers
 from arbutuschute.platform import store
 from arbutuschute.zones import tails
+from tests import stepping
 from tests import test_followers
 from tests import test_tails
 
@@ -71,7 +71,7 @@
     """All mates of a zone, each with its tasks."""
 
     def __init__(self, monkeypatch):
-        self.timer = test_tails.SteppedTimer()
+        self.timer = stepping.SteppedTimer()
         self.store = FailingStore(self.timer)
         self.leases = []
         self.readers = []
@@ -106,17 +106,9 @@
             return result.Failure(errors.StoreGap(topic))
         return result.Success(share)
 
-    async def run(self, until):
-        running = [asyncio.ensure_future(t.run()) for t in self._tasks]
-        try:
-            yield
-            for moment in until:
-                await self.timer.run_until(moment)
-                yield
-        finally:
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
+    def run(self):
+        """Run all tasks of all mates for as long as the context lasts."""
+        return stepping.run_together(task.run() for task in self._tasks)
 
 
 @pytest.fixture
@@ -125,18 +117,15 @@
 
 
 async def test_store_that_is_away_is_asked_by_the_reader_above_all(zone):
-    moments = [DOWN_AT, BACK_AT, BACK_AT + REGAINED_WITHIN_S, END]
-    step = zone.run(moments)
-    await anext(step)
-    await anext(step)
-    (before,) = [one for one in zone.readers if one.is_reader]
-    assert all(lease.is_valid for lease in zone.leases)
-    await anext(step)
-    assert zone.store.refused <= CALLS_MOST, zone.store.refused
-    await anext(step)
-    late = [lease for lease in zone.leases if not lease.is_valid]
-    assert late == []
-    await anext(step)
-    # The store's absence is no fault of the reader's.
-    assert [one for one in zone.readers if one.is_reader] == [before]
-    await step.aclose()
+    async with zone.run():
+        await zone.timer.run_until(DOWN_AT)
+        (before,) = [one for one in zone.readers if one.is_reader]
+        assert all(lease.is_valid for lease in zone.leases)
+        await zone.timer.run_until(BACK_AT)
+        assert zone.store.refused <= CALLS_MOST, zone.store.refused
+        await zone.timer.run_until(BACK_AT + REGAINED_WITHIN_S)
+        late = [lease for lease in zone.leases if not lease.is_valid]
+        assert late == []
+        await zone.timer.run_until(END)
+        # The store's absence is no fault of the reader's.
+        assert [one for one in zone.readers if one.is_reader] == [before]
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -1,7 +1,6 @@
 """What zone mates share of the store, and who reads it; no network."""
 
 import asyncio
-import contextlib
 import itertools
 import random
 
@@ -17,6 +16,7 @@
 from arbutuschute.platform import readers
 from arbutuschute.platform import store
 from arbutuschute.zones import tails
+from tests import stepping
 from tests import test_followers
 
 TOPIC = 't'
@@ -130,6 +130,13 @@
     return made
 
 
+def run_out_at(follower, mate):
+    """Run a follower at a scripted mate until its script is at its end."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(tails, 'fetch', mate.fetch)
+        test_followers.run_out(follower)
+
+
 MATE_STEPS = strategies.lists(
     strategies.tuples(
         strategies.floats(0.0, 1.0),
@@ -160,12 +167,7 @@
         scripted, timer, test_followers.Log(), lease, tables.append,
         lambda _: None, make_zone_reader(timer, scripted),
     )  # fmt: skip
-    fetch, tails.fetch = tails.fetch, mate.fetch
-    try:
-        with contextlib.suppress(asyncio.CancelledError):
-            asyncio.run(follower.run())
-    finally:
-        tails.fetch = fetch
+    run_out_at(follower, mate)
     return tables[-1].version, lease
 
 
@@ -264,12 +266,7 @@
         scripted, timer, test_followers.Log(), directory, LEAVE_BOUND_S,
         make_zone_reader(timer, scripted),
     )  # fmt: skip
-    fetch, tails.fetch = tails.fetch, HoldingMate(timer, steps, records).fetch
-    try:
-        with contextlib.suppress(asyncio.CancelledError):
-            asyncio.run(follower.run())
-    finally:
-        tails.fetch = fetch
+    run_out_at(follower, HoldingMate(timer, steps, records))
     return directory.at
 
 
@@ -319,41 +316,11 @@
         return result.Success(self.writes)
 
 
-class SteppedTimer:
-    """Sleeps in a common time that moves when all sleep."""
-
-    def __init__(self):
-        self.time = 0.0
-        self._sleepers = []
-
-    def now(self):
-        return self.time
-
-    async def sleep(self, seconds):
-        done = asyncio.get_running_loop().create_future()
-        self._sleepers.append((self.time + seconds, id(done), done))
-        await done
-
-    async def run_until(self, end):
-        for _ in range(100_000):
-            for _ in range(10):
-                await asyncio.sleep(0)
-            if not self._sleepers:
-                return
-            at, key, done = min(self._sleepers)
-            if at > end:
-                self.time = end
-                return
-            self._sleepers.remove((at, key, done))
-            self.time = at
-            done.done() or done.set_result(None)
-
-
 async def test_one_of_many_mates_becomes_the_reader_and_is_replaced(
     monkeypatch,
 ):
     """Sixteen instances start at once; later their reader is lost."""
-    timer, registry = SteppedTimer(), RegistryStore()
+    timer, registry = stepping.SteppedTimer(), RegistryStore()
     dead = set()
     draw = random.Random(3)
     made = [
@@ -378,9 +345,8 @@
             await one.read(TOPIC, 0, sharing, timer.now())
             await timer.sleep(0.5)
 
-    running = [asyncio.ensure_future(one.run()) for one in made]
-    running += [asyncio.ensure_future(use(one)) for one in made]
-    try:
+    tasks = [one.run() for one in made] + [use(one) for one in made]
+    async with stepping.run_together(tasks) as running:
         await timer.run_until(15.0)
         (first,) = [one for one in made if one.is_reader]
         assert registry.writes <= 3
@@ -391,7 +357,3 @@
         assert len([one for one in made if one.is_reader]) == 1
         assert len({one._entry.address for one in made}) == 1
         assert registry.writes <= 6
-    finally:
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
