Log when a stream's first event came and how its events followed

Lines told only how long a whole stream took, so an answer of a slow version could not be told from a long answer: neither in a trace, nor summed over the requests of a version. 'request ended' carries first_event_ms and event_gap_ms now.

--- a/arbutuschute/logs.py
+++ b/arbutuschute/logs.py
@@ -15,6 +15,13 @@
 FAILURE_LEVEL = 30
 
 
+def round_to_ms(seconds):
+    """Return whole milliseconds; None for None or infinity."""
+    if seconds is None or seconds == float('inf'):
+        return None
+    return int(1000 * seconds)
+
+
 def _write_json(message):
     record = message.record
     line = {
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from arbutuschute import errors
+from arbutuschute import logs
 from arbutuschute.platform import names
 from arbutuschute.traffic import handler
 from arbutuschute.traffic import request as requests
@@ -263,21 +264,18 @@
                 request.organisation.name if request.organisation else ''
             ),
             configuration=request.version,
-            configuration_age_ms=_round_age(environment.freshness.age_s),
+            configuration_age_ms=logs.round_to_ms(environment.freshness.age_s),
             outcome=outcome,
             status=status,
             detail=detail,
             attempts=request.attempts,
             ran=request.ran.value,
+            first_event_ms=logs.round_to_ms(request.first_event_s),
+            event_gap_ms=logs.round_to_ms(request.event_gap_s),
             took_ms=int(took_ms),
         )
 
 
-def _round_age(age_s):
-    """Return milliseconds, None if there never was a confirmation."""
-    return int(1000 * age_s) if age_s != float('inf') else None
-
-
 def _make_request(message, payload, protocol, writer, task):
     return web.BaseRequest(
         message,
--- a/arbutuschute/traffic/events.py
+++ b/arbutuschute/traffic/events.py
@@ -2,6 +2,8 @@
 
 EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+# A slow stream is known by its first events, long before it ends.
+MEASURED_EVENTS = 8
 
 
 class Splitter:
@@ -34,6 +36,39 @@
         return whole
 
 
+class GapMeter:
+    """Measures the mean time between the first events of a stream.
+
+    ``gap_s`` is None until ``MEASURED_EVENTS`` have followed the first
+    bytes; ``finish`` settles for fewer.
+    """
+
+    __slots__ = ('_began_at', '_events', '_last_at', 'gap_s')
+
+    def __init__(self):
+        self._began_at = None
+        self._last_at = None
+        self._events = 0
+        self.gap_s = None
+
+    def add(self, events, now):
+        """Count the events in bytes that arrived together."""
+        if self._began_at is None:
+            self._began_at = now
+            return
+        if self.gap_s is not None:
+            return
+        self._events += events.count(EVENT_END)
+        self._last_at = now
+        if self._events >= MEASURED_EVENTS:
+            self.finish()
+
+    def finish(self):
+        """Set ``gap_s`` from the events so far, if there are enough."""
+        if self.gap_s is None and self._events:
+            self.gap_s = (self._last_at - self._began_at) / self._events
+
+
 def _parse_last_id(events):
     """Return the id of the last event that has one, or None."""
     start = events.rfind(b'\n' + _ID_FIELD)
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -156,6 +156,7 @@
 
 async def _relay(environment, request, server, stream, attempt, began, limits):
     splitter = events.Splitter()
+    gap_meter = events.GapMeter()
     while True:
         chunk = await timeouts.wait_for(
             environment, request, server, attempt.read, limits
@@ -166,11 +167,14 @@
         whole = splitter.feed(chunk)
         if not whole:
             continue
+        gap_meter.add(whole, environment.now())
         limits = timeouts.Limits(GAP_TARGETS * request.route.gap_target_s)
         await _forward(
             environment, request, server, stream, attempt, whole, began
         )
         stream.last_id = splitter.last_id or stream.last_id
+    gap_meter.finish()
+    request.event_gap_s = gap_meter.gap_s
     if splitter.has_partial_event:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
     if not stream.is_started:
@@ -185,13 +189,14 @@
         stream.is_started = True
         now = environment.now()
         waited_s = now - began
+        request.first_event_s = now - request.received_at
         environment.rollouts.record(
             server, 'slow', waited_s > SLOW_TARGETS * request.route.target_s
         )
         environment.metrics.observe(
             'first_event_ms',
             request.route.name,
-            1000 * (now - request.received_at),
+            1000 * request.first_event_s,
         )
         await stream.reply.start(attempt.head)
     await stream.reply.write(whole)
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -36,6 +36,8 @@
         'attempts',
         'body',
         'deadline_at',
+        'event_gap_s',
+        'first_event_s',
         'headers',
         'host',
         'id',
@@ -78,6 +80,10 @@
         self.session = request_id
         self.version = 0
         self.attempts = 0
+        # Seconds until a stream's first event was passed on, and between the
+        # events that one server sent next; None if there were none.
+        self.first_event_s = None
+        self.event_gap_s = None
         # Whether an attempt was sent and its outcome is unknown.
         self.is_attempt_pending = False
         self.ran = errors.Ran.NO
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -1,6 +1,7 @@
 """Choice of a server for an attempt, and rules for retries."""
 
 from arbutuschute import errors
+from arbutuschute import logs
 from arbutuschute.policy import placement
 
 # Another attempt needs at least this much time before the deadline.
@@ -36,7 +37,7 @@
         model=request.model,
         attempt=request.attempts + 1,
         load=round(chosen.load.others + chosen.in_flight, 1),
-        load_age_ms=_compute_age_ms(now, chosen.load.at),
+        load_age_ms=logs.round_to_ms(now - chosen.load.at),
         foreseen_ms=int(1000 * chosen.queue_delays.estimate_wait_s(now)),
         listed=len(listed),
         usable=len(usable),
@@ -44,11 +45,6 @@
     return chosen
 
 
-def _compute_age_ms(now, at):
-    """Return the age of a load report, None if there was none."""
-    return int(1000 * (now - at)) if at > float('-inf') else None
-
-
 def _choose_among(environment, request, servers):
     if not request.route.is_stream:
         return placement.choose(
