Compare a new version's pace with the old one's

Cause: the guard called a stream slow only if its first event missed the route's target. Engines with free capacity answer in a fraction of that. Class: a relative quality judged by an absolute limit.

A version is not advanced before eight of its times were compared. Evidence is written early for failures of the new version only, or a quarter of the old one's responses would cause a write each.

The new signals are an addition to the stored evidence; instances of the version before ignore them (samples of the outer surface).

--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -6,11 +6,13 @@
 from arbutuschute.platform import followers
 from arbutuschute.platform import readers
 from arbutuschute.policy import canary
+from arbutuschute.policy import comparison
 
 TOPIC = 'keyed.rollouts'
 PERIOD_S = 1.2
 PERIOD_SPREAD = (0.85, 1.15)
-# Each write of evidence is priced; without new failures it is rarer.
+# Each write of evidence is priced; without failures of the new version it is
+# rarer.
 EVIDENCE_PERIOD_S = 4.0
 # The writer of a final step may die before it has written the status.
 STATUS_TAKEOVER_S = 1.0
@@ -135,15 +137,18 @@
         answer = await self._store.put(
             TOPIC, key, canary.encode(step), at=self._topic.position
         )
+        counts = rollout.comparison
         self._log.info(
             'rollout step offered',
             service=step.service,
             number=step.number,
             phase=step.phase.value,
-            new=rollout.sum_counts('new', 'error', self._identity),
-            old=rollout.sum_counts('old', 'error', self._identity),
-            new_slow=rollout.sum_counts('new', 'slow', self._identity),
-            old_slow=rollout.sum_counts('old', 'slow', self._identity),
+            new=counts.sum_counts('new', 'error', self._identity),
+            old=counts.sum_counts('old', 'error', self._identity),
+            new_slow=counts.sum_counts('new', 'slow', self._identity),
+            old_slow=counts.sum_counts('old', 'slow', self._identity),
+            new_paces=self._sum_paces(rollout, 'new'),
+            old_paces=self._sum_paces(rollout, 'old'),
             elapsed_s=round(step.elapsed_s, 2),
             written=isinstance(answer, result.Success),
         )
@@ -154,6 +159,13 @@
             await self._put_status(rollout)
         return True
 
+    def _sum_paces(self, rollout, side):
+        """Return (slower responses, compared ones) by signal."""
+        return {
+            signal: rollout.comparison.sum_counts(side, signal, self._identity)
+            for signal in comparison.list_pace_signals()
+        }
+
     async def _report_status(self, rollout):
         """Write the final status if its first writer did not."""
         if self._timer.now() - rollout.ended_at < STATUS_TAKEOVER_S:
@@ -188,8 +200,5 @@
 
 
 def _count_failures(evidence):
-    return sum(
-        failures
-        for side in (evidence.new, evidence.old)
-        for failures, _ in side.values()
-    )
+    """Return the new version's failures; those of the old one can wait."""
+    return sum(failures for failures, _ in evidence.new.values())
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from arbutuschute.policy import guard
+from arbutuschute.policy import baseline
+from arbutuschute.policy import comparison
 from arbutuschute.zones import rendezvous
 
 # Share of sessions on the new version at each step. The first is below the
@@ -34,14 +35,11 @@
 STEP_TIME = 0.07
 # Part of the roll-out's time by which it is completed or rolled back.
 END_BY = 0.9
-# Requests to the new version without which it is not advanced.
-MIN_TRIALS = 12
 # A session continues if its next request comes within this time of the end of
 # the one before; the default of a setting.
 SESSION_S = 5.0
 # Nearly all streams end within this time of their start.
 LONG_STREAM_S = 6.0
-SIGNALS = ('error', 'slow')
 
 
 class Phase(enum.Enum):
@@ -105,8 +103,7 @@
 
     __slots__ = (
         '_effect_after_s',
-        '_evidence',
-        '_own',
+        'comparison',
         'ended_at',
         'first_share',
         'is_announced',
@@ -130,8 +127,7 @@
         self.is_settled = False
         # When the newest step takes effect, in seconds of the roll-out.
         self._effect_after_s = 0.0
-        self._own = {'new': guard.Counters(), 'old': guard.Counters()}
-        self._evidence = {}
+        self.comparison = comparison.Comparison()
 
     @property
     def stepped_at(self):
@@ -148,17 +144,23 @@
             return 0.0
         if self.phase is Phase.COMPLETED:
             return 1.0
-        begin_s = min(BEGIN_AFTER_S, MAX_BEGIN_SHARE * self.order.duration_s)
-        if now - self.started_at < begin_s:
+        number = self.find_step(now)
+        if number is None:
             return 0.0
-        number = self.number - (now < self.stepped_at)
         return SHARES[number] if number > 0 else self.first_share
 
+    def find_step(self, now):
+        """Return the step in effect at ``now``, None before the first."""
+        begin_s = min(BEGIN_AFTER_S, MAX_BEGIN_SHARE * self.order.duration_s)
+        if now - self.started_at < begin_s:
+            return None
+        return max(0, self.number - (now < self.stepped_at))
+
     def apply(self, record, now):
         """Apply a record about this order; records come in log order."""
         self.started_at = min(self.started_at, now - record.elapsed_s)
         if isinstance(record, Evidence):
-            self._evidence[record.instance] = record
+            self.comparison.merge(record)
             return
         if self.phase is not Phase.RUNNING:
             return
@@ -172,8 +174,20 @@
 
     def record(self, version, signal, failed):
         """Record one outcome that this instance observed."""
-        side = 'new' if version == self.order.version else 'old'
-        self._own[side].add(signal, int(failed))
+        self.comparison.record(self._find_side(version), signal, failed)
+
+    def record_pace(self, version, ratio, now):
+        """Record a time as a multiple of the old version's, None if unknown.
+
+        Times before the first step and at the last one are left out.
+        """
+        step = self.find_step(now)
+        if ratio is not None and step in comparison.COMPARED_STEPS:
+            side = self._find_side(version)
+            self.comparison.record_pace(side, step, ratio)
+
+    def _find_side(self, version):
+        return 'new' if version == self.order.version else 'old'
 
     def make_evidence(self, instance, now):
         """Return the own counts as ``Evidence`` for the log."""
@@ -181,39 +195,11 @@
             self.order.offset,
             self.order.service,
             instance,
-            self._get_counts('new'),
-            self._get_counts('old'),
+            self.comparison.get_own('new'),
+            self.comparison.get_own('old'),
             now - self.started_at,
         )
 
-    def _get_counts(self, side):
-        counters = self._own[side]
-        return {
-            signal: (counters.failures[signal], trials)
-            for signal, trials in counters.trials.items()
-        }
-
-    def sum_counts(self, side, signal, instance):
-        """Return (failures, trials) of all instances, with the own of now."""
-        own = self._get_counts(side).get(signal, (0, 0))
-        others = [
-            getattr(record, side).get(signal, (0, 0))
-            for name, record in self._evidence.items()
-            if name != instance
-        ]
-        rows = (own, *others)
-        return sum(row[0] for row in rows), sum(row[1] for row in rows)
-
-    def is_bad(self, instance):
-        """Return whether the new version is worse by any signal."""
-        return any(
-            guard.is_worse(
-                self.sum_counts('new', signal, instance),
-                self.sum_counts('old', signal, instance),
-            )
-            for signal in SIGNALS
-        )
-
     def decide(self, instance, now, old_idle):
         """Return the next ``Step`` if it is due, or None.
 
@@ -225,13 +211,12 @@
         elapsed = now - self.started_at
         if not self.is_announced:
             return self._make_step(0, Phase.RUNNING, elapsed)
-        if self.is_bad(instance):
+        if self.comparison.is_bad(instance):
             return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
         duration = self.order.duration_s
         if elapsed < RAMP_FROM * duration:
             return None
-        _, trials = self.sum_counts('new', 'error', instance)
-        if trials < MIN_TRIALS:
+        if not self.comparison.has_enough_trials(instance):
             if elapsed < END_BY * duration:
                 return None
             return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
@@ -262,8 +247,8 @@
 class Rollouts:
     """The newest order of each service, and the rejected versions."""
 
-    __slots__ = ('_last_on_old', '_memory_s', '_now', '_pending_records',
-                 'by_service', 'rejected')  # fmt: skip
+    __slots__ = ('_baseline', '_last_on_old', '_memory_s', '_now',
+                 '_pending_records', 'by_service', 'rejected')  # fmt: skip
 
     def __init__(self, now, session_s=SESSION_S):
         # Newest records of orders that have not been read yet.
@@ -273,6 +258,7 @@
         self._last_on_old = {}
         self._memory_s = session_s + LONG_STREAM_S
         self._now = now
+        self._baseline = baseline.Baseline(now)
         self.by_service = {}
         self.rejected = set()
 
@@ -317,6 +303,19 @@
         if rollout is not None and rollout.phase is Phase.RUNNING:
             rollout.record(server.entry.version, signal, failed)
 
+    def record_time(self, server, kind, seconds):
+        """Record a response time; times of one ``kind`` are comparable."""
+        entry = server.entry
+        key = entry.service, kind
+        rollout = self.by_service.get(entry.service)
+        if rollout is not None and rollout.phase is Phase.RUNNING:
+            ratio = self._baseline.compute_ratio(key, seconds)
+            rollout.record_pace(entry.version, ratio, self._now())
+            if entry.version == rollout.order.version:
+                return
+        if (entry.service, entry.version) not in self.rejected:
+            self._baseline.add(key, seconds)
+
     def select(self, service, servers, key):
         """Return the servers that a key's requests may run on."""
         usable = [
--- /dev/null
+++ b/arbutuschute/policy/comparison.py
@@ -0,0 +1,120 @@
+"""Comparison of a new version with the old one, from all instances' counts."""
+
+from arbutuschute.policy import guard
+
+# Limits of a response's time, as multiples of the old version's median. Of its
+# own responses a quarter exceed the first one, and of a version three times
+# slower nearly all, even if that has fewer requests. The second one soon shows
+# a version of which only a part is much slower.
+PACES = {'slower': 1.5, 'much-slower': 4.0}
+# Rises of the rate of slower responses that the test looks for.
+PACE_EFFECTS = (0.15, 0.3, 0.6)
+# Both versions are compared within a step, as the load changes between steps.
+# At the last step the old version gets no requests.
+COMPARED_STEPS = range(2)
+# The signals of a failure and of a missed target count over the whole time.
+SIGNALS = ('error', 'slow')
+# Requests to the new version without which it is not advanced, and those whose
+# times were compared. If all of these are slower, they suffice to reject.
+MIN_TRIALS = 12
+MIN_COMPARED = 8
+# Responses of the old version in a step without which the step says nothing.
+MIN_PACE_REFERENCE = 20
+
+
+def name_signal(pace, step):
+    """Return the signal under which responses of a step are counted."""
+    return f'{pace}-{step}'
+
+
+def list_pace_signals():
+    """Return the signals of all paces and steps."""
+    return [name_signal(p, step) for p in PACES for step in COMPARED_STEPS]
+
+
+class Comparison:
+    """Counts of one roll-out, as (failures, trials) by side and signal.
+
+    A side is ``new`` or ``old``. The counts of other instances are their
+    newest evidence; the own ones are those of now.
+    """
+
+    __slots__ = ('_others', '_own')
+
+    def __init__(self):
+        self._own = {'new': guard.Counters(), 'old': guard.Counters()}
+        self._others = {}
+
+    def record(self, side, signal, failed):
+        """Record one outcome that this instance observed."""
+        self._own[side].add(signal, int(failed))
+
+    def record_pace(self, side, step, ratio):
+        """Record a time as a multiple of the old version's median."""
+        for pace, limit in PACES.items():
+            self.record(side, name_signal(pace, step), ratio > limit)
+
+    def merge(self, evidence):
+        """Replace what is known of the instance that wrote ``evidence``."""
+        self._others[evidence.instance] = evidence
+
+    def get_own(self, side):
+        """Return this instance's counts of a side."""
+        counters = self._own[side]
+        return {
+            signal: (counters.failures[signal], trials)
+            for signal, trials in counters.trials.items()
+        }
+
+    def sum_counts(self, side, signal, instance):
+        """Return (failures, trials) of all instances.
+
+        ``instance`` is this one, whose own evidence is not counted twice.
+        """
+        own = self.get_own(side).get(signal, (0, 0))
+        others = [
+            getattr(evidence, side).get(signal, (0, 0))
+            for name, evidence in self._others.items()
+            if name != instance
+        ]
+        rows = (own, *others)
+        return sum(row[0] for row in rows), sum(row[1] for row in rows)
+
+    def is_bad(self, instance):
+        """Return whether the new version is worse by any signal."""
+        if any(self._is_slower(pace, instance) for pace in PACES):
+            return True
+        return any(
+            guard.is_worse(
+                self.sum_counts('new', signal, instance),
+                self.sum_counts('old', signal, instance),
+            )
+            for signal in SIGNALS
+        )
+
+    def _is_slower(self, pace, instance):
+        """Return whether all steps together show slower responses.
+
+        The evidence of separate steps multiplies.
+        """
+        evidence = 1.0
+        for step in COMPARED_STEPS:
+            signal = name_signal(pace, step)
+            old = self.sum_counts('old', signal, instance)
+            if old[1] >= MIN_PACE_REFERENCE:
+                evidence *= guard.compute_evidence(
+                    *self.sum_counts('new', signal, instance),
+                    guard.compute_upper_rate(*old),
+                    PACE_EFFECTS,
+                )
+        return guard.is_sufficient(evidence)
+
+    def has_enough_trials(self, instance):
+        """Return whether the new version was tried enough to advance."""
+        _, trials = self.sum_counts('new', 'error', instance)
+        if trials < MIN_TRIALS:
+            return False
+        signal = name_signal('slower', 0)
+        _, compared = self.sum_counts('new', signal, instance)
+        _, old = self.sum_counts('old', signal, instance)
+        return compared >= MIN_COMPARED or old < MIN_PACE_REFERENCE
--- a/arbutuschute/policy/guard.py
+++ b/arbutuschute/policy/guard.py
@@ -55,22 +55,22 @@
     return min(max(bound, RATE_FLOOR), RATE_CEILING)
 
 
-def compute_evidence(failures, trials, baseline_rate):
+def compute_evidence(failures, trials, baseline_rate, effects=EFFECTS):
     """Return the e-value against 'fails no more often than the baseline'.
 
-    It is a mixture of likelihood ratios over ``EFFECTS``. By Ville's
+    It is a mixture of likelihood ratios over rises of the rate. By Ville's
     inequality it ever exceeds 1/a with a chance of at most a, however often
     it is evaluated.
     """
     total = 0.0
-    for effect in EFFECTS:
+    for effect in effects:
         worse = min(baseline_rate + effect, 0.99)
         ratio = failures * math.log(worse / baseline_rate)
         ratio += (trials - failures) * math.log(
             (1 - worse) / (1 - baseline_rate)
         )
         total += math.exp(min(ratio, 700.0))
-    return total / len(EFFECTS)
+    return total / len(effects)
 
 
 def is_worse(new, old):
@@ -81,7 +81,11 @@
     if not new[0] or old[1] < MIN_REFERENCE_TRIALS:
         return False
     baseline = compute_upper_rate(*old)
-    evidence = compute_evidence(*new, baseline)
+    return is_sufficient(compute_evidence(*new, baseline))
+
+
+def is_sufficient(evidence):
+    """Return whether an e-value suffices to halt a version."""
     return evidence >= 1 / FALSE_HALTS_PER_SIGNAL
 
 
--- a/arbutuschute/traffic/events.py
+++ b/arbutuschute/traffic/events.py
@@ -39,34 +39,34 @@
 class GapMeter:
     """Measures the mean time between the first events of a stream.
 
-    ``gap_s`` is None until ``MEASURED_EVENTS`` have followed the first
-    bytes; ``finish`` settles for fewer.
+    ``add`` and ``finish`` return it in seconds as soon as it is known: after
+    ``MEASURED_EVENTS`` that followed the first bytes, or at the stream's end.
+    They return None at all other times.
     """
 
-    __slots__ = ('_began_at', '_events', '_last_at', 'gap_s')
+    __slots__ = ('_began_at', '_events', '_is_known', '_last_at')
 
     def __init__(self):
         self._began_at = None
         self._last_at = None
         self._events = 0
-        self.gap_s = None
+        self._is_known = False
 
     def add(self, events, now):
         """Count the events in bytes that arrived together."""
         if self._began_at is None:
             self._began_at = now
-            return
-        if self.gap_s is not None:
-            return
+            return None
         self._events += events.count(EVENT_END)
         self._last_at = now
-        if self._events >= MEASURED_EVENTS:
-            self.finish()
+        return self.finish() if self._events >= MEASURED_EVENTS else None
 
     def finish(self):
-        """Set ``gap_s`` from the events so far, if there are enough."""
-        if self.gap_s is None and self._events:
-            self.gap_s = (self._last_at - self._began_at) / self._events
+        """Settle for the events that there were."""
+        if self._is_known or not self._events:
+            return None
+        self._is_known = True
+        return (self._last_at - self._began_at) / self._events
 
 
 def _parse_last_id(events):
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -167,14 +167,14 @@
         whole = splitter.feed(chunk)
         if not whole:
             continue
-        gap_meter.add(whole, environment.now())
+        gap_s = gap_meter.add(whole, environment.now())
+        _record_gap(environment, request, server, gap_s)
         limits = timeouts.Limits(GAP_TARGETS * request.route.gap_target_s)
         await _forward(
             environment, request, server, stream, attempt, whole, began
         )
         stream.last_id = splitter.last_id or stream.last_id
-    gap_meter.finish()
-    request.event_gap_s = gap_meter.gap_s
+    _record_gap(environment, request, server, gap_meter.finish())
     if splitter.has_partial_event:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
     if not stream.is_started:
@@ -182,6 +182,15 @@
         stream.is_started = True
 
 
+def _record_gap(environment, request, server, gap_s):
+    """Record the time between a stream's events, unless it is None."""
+    if gap_s is None:
+        return
+    request.event_gap_s = gap_s
+    model = request.model or request.prompt.model
+    environment.rollouts.record_time(server, model, gap_s)
+
+
 async def _forward(
     environment, request, server, stream, attempt, whole, began
 ):
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -87,4 +87,5 @@
         environment.rollouts.record(
             server, 'slow', seconds > SLOW_TARGETS * request.route.target_s
         )
+        environment.rollouts.record_time(server, request.route.name, seconds)
     environment.rollouts.record(server, 'error', failed)
--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -26,6 +26,7 @@
 from arbutuschute.platform import names
 from arbutuschute.platform import settings as node_settings
 from arbutuschute.policy import canary
+from arbutuschute.policy import comparison
 from arbutuschute import streams
 from tests.outer import source
 from tests.outer import wire
@@ -107,7 +108,7 @@
         'values': sorted(found),
         # The command prints these as words.
         'states of a bill': [s.name.lower() for s in bills.State],
-        'signals': canary.SIGNALS,
+        'signals': (*comparison.SIGNALS, *comparison.list_pace_signals()),
     }
 
 
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -1,11 +1,14 @@
 """Roll-outs on instances that share their evidence through a log."""
 
+import math
 import random
 
 import pytest
 
 from arbutuschute.machines import servers
+from arbutuschute.policy import baseline
 from arbutuschute.policy import canary
+from arbutuschute.policy import comparison
 
 
 class Clock:
@@ -30,7 +33,29 @@
     return clock, rollouts, rollouts.by_service['s']
 
 
-def play(error_rate, seed, duration_s=24.0, instances=7, rate=41.0):
+def sample_gap_s(rng, now, factor=1.0):
+    """Return a time between events, at a load that comes in waves."""
+    load = 1.0 + 0.6 * math.sin(2 * math.pi * now / 17.0)
+    return 0.04 * load * rng.lognormvariate(0.0, 0.5) * factor
+
+
+def sample_good_gap_s(rng, version, now):
+    """Engines of the new version have fewer requests at first."""
+    return sample_gap_s(rng, now, 0.8 if version == 'v2' else 1.0)
+
+
+def sample_slow_gap_s(rng, version, now):
+    """Half of the new version's responses are eight times slower.
+
+    They slow those beside them down a little.
+    """
+    if version != 'v2':
+        return sample_gap_s(rng, now)
+    return sample_gap_s(rng, now, rng.choice((1.3, 8.0)))
+
+
+def play(error_rate, seed, duration_s=24.0, instances=7, rate=41.0,
+         sample_gap=sample_good_gap_s):  # fmt: skip
     """Simulate a roll-out.
 
     Return (phase, requests to the new version, its failures, all requests).
@@ -56,6 +81,8 @@
             is_new = chosen.entry.version == 'v2'
             failed = rng.random() < (error_rate if is_new else 0.004)
             rollouts.record(chosen, 'error', failed)
+            gap_s = sample_gap(rng, chosen.entry.version, now)
+            rollouts.record_time(chosen, 'model', gap_s)
             requests += 1
             to_new += is_new
             bad += is_new and failed
@@ -91,6 +118,55 @@
     assert phase is canary.Phase.COMPLETED
 
 
+# A version that is several times slower, but not slow enough to miss a target.
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('duration_s', [15.0, 24.0])
+def test_slow_version_is_rolled_back_within_the_bound(duration_s, seed):
+    phase, to_new, _, requests = play(
+        0.004, seed, duration_s, sample_gap=sample_slow_gap_s
+    )
+    assert phase is canary.Phase.ROLLED_BACK
+    assert to_new <= 0.15 * requests + 30
+
+
+@pytest.mark.parametrize('seed', range(24))
+def test_good_version_is_completed_at_any_phase_of_the_load(seed):
+    rng = random.Random(seed)
+    shift_s = rng.uniform(0.0, 17.0)
+
+    def sample(rng, version, now):
+        return sample_good_gap_s(rng, version, now + shift_s)
+
+    phase, _, _, _ = play(0.004, seed, sample_gap=sample)
+    assert phase is canary.Phase.COMPLETED
+
+
+def test_times_are_not_compared_once_all_requests_use_the_new_version():
+    clock, rollouts, rollout = make_rollout()
+    old, new = make_server('old'), make_server('new', version='v2')
+    for _ in range(baseline.MIN_SAMPLES):
+        rollouts.record_time(old, 'model', 0.04)
+    clock.time = 4.0
+    rollouts.record_time(new, 'model', 0.4)
+    rollouts.record_time(new, 'other', 0.4)
+    assert rollout.comparison.sum_counts('new', 'slower-0', 'i') == (1, 1)
+    rollouts.apply(canary.Step(7, 's', 2, canary.Phase.RUNNING, 4.0))
+    clock.time += canary.EFFECT_DELAY_S
+    rollouts.record_time(new, 'model', 0.4)
+    assert rollout.comparison.sum_counts('new', 'slower-0', 'i') == (1, 1)
+    assert rollout.comparison.sum_counts('new', 'slower-1', 'i') == (0, 0)
+
+
+def test_old_times_are_forgotten():
+    clock = Clock()
+    times = baseline.Baseline(clock)
+    for _ in range(baseline.MIN_SAMPLES):
+        times.add('k', 1.0)
+    assert times.compute_ratio('k', 1.5) == 1.5
+    clock.time += baseline.MEMORY_S + 0.1
+    assert times.compute_ratio('k', 1.5) is None
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_session_on_several_instances_stays_on_its_version(seed):
     """Instances list the new server and read steps up to 1.4 s apart.
@@ -241,4 +317,4 @@
         trials += version == 'v2'
         session[2] = version
     assert moved <= 3
-    assert trials >= canary.MIN_TRIALS
+    assert trials >= comparison.MIN_TRIALS
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -334,25 +334,25 @@
 # A stream's pace tells a slow version from its predecessor.
 def test_gap_is_the_mean_time_between_the_first_events():
     meter = events.GapMeter()
-    meter.add(b'id:1\n\nid:2\n\n', 5.0)
-    assert meter.gap_s is None
-    meter.add(b'id:3\n\n', 5.2)
-    meter.add(b'id:4\n\nid:5\n\nid:6\n\n', 5.8)
-    meter.finish()
-    assert meter.gap_s == pytest.approx(0.2)
+    assert meter.add(b'id:1\n\nid:2\n\n', 5.0) is None
+    assert meter.add(b'id:3\n\n', 5.2) is None
+    assert meter.add(b'id:4\n\nid:5\n\nid:6\n\n', 5.8) is None
+    assert meter.finish() == pytest.approx(0.2)
 
 
 def test_gap_needs_an_event_after_the_first_bytes():
     meter = events.GapMeter()
-    meter.finish()
-    meter.add(b'id:1\n\n', 5.0)
-    meter.finish()
-    assert meter.gap_s is None
+    assert meter.finish() is None
+    assert meter.add(b'id:1\n\n', 5.0) is None
+    assert meter.finish() is None
 
 
-def test_gap_is_known_before_a_long_stream_ends():
+def test_gap_is_known_once_and_before_a_long_stream_ends():
     meter = events.GapMeter()
-    for number in range(events.MEASURED_EVENTS + 1):
-        assert meter.gap_s is None
+    found = [
         meter.add(b'id:1\n\n', 0.5 * number)
-    assert meter.gap_s == pytest.approx(0.5)
+        for number in range(events.MEASURED_EVENTS + 5)
+    ]
+    assert found[events.MEASURED_EVENTS] == pytest.approx(0.5)
+    assert [gap_s for gap_s in found if gap_s is not None] == [0.5]
+    assert meter.finish() is None
