Bound what is read of a server's response, in bytes and in time

Callers: a server that sent bytes without end made an instance keep them: a body of a whole answer or of a failure was gathered until the deadline on the platform's link, and without any limit on the own one, where also the head had none; a stream's event without end was buffered. With all memory gone the process is killed, with every request on it.

Cause: whole bodies were read by calls that gather to the end, and a time limit between two reads is never reached by a server that goes on sending.

Fix: bodies are gathered by one function with a size limit (4 MiB; events 256 KiB, refusals and load reports 64 KiB); beyond it AnswerTooLarge, a kind of AnswerBroken, so that a stream resumes elsewhere and ran stays 'unknown'. On the own link the deadline bounds head and body, and a stall the next whole event. Blank lines are no event: they are kept for the next one, and the limits of a stream count from one event to the next.

A new failure type in the samples of the outer surface is an addition.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -104,12 +104,18 @@
         finally:
             server.finish(environment.timer.now())
 
+    def _compute_left_s(self):
+        """Return the seconds until the deadline."""
+        return self._work.deadline_at - self._environment.timer.now()
+
     async def fetch(self, server):
         """Fetch a complete answer and pass it to the caller."""
         work = self._work
         started_at = self._environment.timer.now()
         async with self._open(server, CHAT_PATH) as response:
-            body, usage = await engine.read_whole(response, work.id, server)
+            body, usage = await engine.read_whole(
+                response, work.id, server, self._compute_left_s()
+            )
         work.record_ran(errors.Ran.YES)
         rollouts.record_answer(
             self._environment,
@@ -234,12 +240,9 @@
             work.method,
             **{'Content-Type': 'application/json'},
         ) as response:
-            try:
-                body = await response.read()
-            except (OSError, asyncio.TimeoutError):
-                raise errors.AnswerBroken(server.name).mark_ran(
-                    errors.Ran.UNKNOWN
-                ) from None
+            body = await engine.read_body(
+                response, server, self._compute_left_s()
+            )
             kind, status = response.content_type, response.status
         work.record_ran(errors.Ran.YES)
         await self._bill.finish(None, engine.Usage())
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -61,10 +61,11 @@
     }
 
 
-def define(name, code, title, http_status, *fields, retry_after_s=None):
+def define(name, code, title, http_status, *fields, retry_after_s=None,
+           base=Failure):  # fmt: skip
     """Return a failure type whose constructor takes ``fields`` in order."""
     made = dataclasses.make_dataclass(
-        name, [(field, object) for field in fields], bases=(Failure,), eq=False
+        name, [(field, object) for field in fields], bases=(base,), eq=False
     )
     made.__doc__ = f'{title}.'
     made.__module__ = __name__
@@ -167,6 +168,10 @@
     'AnswerBroken', 'answer-broken', 'Answer ended before its end', 502,
     'server',
 )  # fmt: skip
+AnswerTooLarge = define(
+    'AnswerTooLarge', 'answer-too-large', 'Answer exceeds its size limit',
+    502, 'limit_bytes', base=AnswerBroken,
+)  # fmt: skip
 AnswerCrossed = define(
     'AnswerCrossed', 'answer-crossed', 'Answer belongs to another request',
     502, 'server',
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -6,15 +6,19 @@
 import aiohttp
 import msgspec
 
+from arbutuschute import bodies
 from arbutuschute import errors
 
 CONNECT_TIMEOUT_S = 1.0
 STALL_TIMEOUT_S = 15.0
 CANCEL_TIMEOUT_S = 1.0
 DRAIN_TIMEOUT_S = 0.5
+MAX_REFUSAL_BYTES = 64 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]\n\n'
 USAGE_FIELD = b'"usage"'
+EVENT_FIELD = b'data:'
 REFUSING_STATUSES = (429, 503)
 
 
@@ -52,13 +56,14 @@
         sock_read=min(STALL_TIMEOUT_S, deadline_s),
     )
     try:
-        response = await session.request(
-            method,
-            f'{server.instance.address}{path}',
-            data=body,
-            headers=headers,
-            timeout=timeout,
-        )
+        async with asyncio.timeout(deadline_s):
+            response = await session.request(
+                method,
+                f'{server.instance.address}{path}',
+                data=body,
+                headers=headers,
+                timeout=timeout,
+            )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         raise errors.EngineUnreachable(server.name) from None
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
@@ -67,16 +72,17 @@
         ) from None
     try:
         if response.status in REFUSING_STATUSES:
-            raise await _read_refusal(response, server)
+            raise await _read_refusal(response, server, deadline_s)
         yield response
     finally:
         response.close()
 
 
-async def _read_refusal(response, server):
+async def _read_refusal(response, server, deadline_s):
     try:
-        refusal = _refusal_decoder.decode(await response.read())
-    except (msgspec.DecodeError, aiohttp.ClientError, asyncio.TimeoutError):
+        body = await read_body(response, server, deadline_s, MAX_REFUSAL_BYTES)
+        refusal = _refusal_decoder.decode(body)
+    except (msgspec.DecodeError, errors.AnswerBroken):
         refusal = _Refusal(reason='unclear', ran='unknown')
     failure = errors.EngineRefused(server.name, refusal.reason)
     known = refusal.ran == errors.Ran.NO.value
@@ -89,21 +95,33 @@
         raise errors.AnswerCrossed(server.name).mark_ran(errors.Ran.UNKNOWN)
 
 
-async def read_whole(response, work_id, server):
+async def read_body(response, server, deadline_s,
+                    limit_bytes=bodies.MAX_BODY_BYTES):  # fmt: skip
+    """Return a whole body; raise ``AnswerBroken`` if it can't be read.
+
+    It may take ``deadline_s`` and ``limit_bytes`` at most.
+    """
+    try:
+        async with asyncio.timeout(deadline_s):
+            return await bodies.read_whole(
+                response.content.readany, server.name, limit_bytes
+            )
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        raise errors.AnswerBroken(server.name).mark_ran(
+            errors.Ran.UNKNOWN
+        ) from None
+
+
+async def read_whole(response, work_id, server, deadline_s):
     """Return (body, usage) of a whole response.
 
     Raises ``AnswerBroken`` if it can't be read, ``AnswerCrossed`` if it has
     another request's id.
     """
+    body = await read_body(response, server, deadline_s)
     try:
-        body = await response.read()
         final = _final_decoder.decode(body)
-    except (
-        aiohttp.ClientError,
-        asyncio.TimeoutError,
-        msgspec.DecodeError,
-        OSError,
-    ):
+    except msgspec.DecodeError:
         raise errors.AnswerBroken(server.name).mark_ran(
             errors.Ran.UNKNOWN
         ) from None
@@ -115,21 +133,40 @@
 class EventReader:
     """Reads whole events of a stream, without its end.
 
-    ``tail`` is the usage event with the end marker, or None until they
-    arrive. ``events`` counts the returned events until a reader resets it.
+    The next whole event may take ``stall_s`` at most. ``tail`` is the usage
+    event with the end marker, or None until they arrive. ``events`` counts
+    the returned events until a reader resets it.
     """
 
-    __slots__ = ('_partial', '_response', '_server', 'events', 'tail')
+    __slots__ = (
+        '_partial',
+        '_response',
+        '_server',
+        '_stall_s',
+        'events',
+        'tail',
+    )
 
-    def __init__(self, response, server):
+    def __init__(self, response, server, stall_s=STALL_TIMEOUT_S):
         self._response = response
         self._server = server
+        self._stall_s = stall_s
         self._partial = b''
         self.events = 0
         self.tail = None
 
     async def read(self):
-        """Return bytes of one or more whole events, ``b''`` at the end."""
+        """Return bytes of one or more whole events, ``b''`` at the end.
+
+        Raise ``AnswerBroken`` if there will be none.
+        """
+        try:
+            async with asyncio.timeout(self._stall_s):
+                return await self._read_events()
+        except TimeoutError:
+            raise self._make_failure() from None
+
+    async def _read_events(self):
         while self.tail is None:
             chunk = await self._read_chunk()
             data = self._partial + chunk if self._partial else chunk
@@ -139,14 +176,21 @@
             else:
                 cut = data.rfind(EVENT_END) + len(EVENT_END)
                 if cut < len(EVENT_END):
-                    self._partial = data
+                    self._keep_partial(data)
                     continue
                 data = self._hold_back_usage(data, cut)
-            if data:
+            if EVENT_FIELD in data:
                 self.events += data.count(EVENT_END)
                 return data
         return b''
 
+    def _keep_partial(self, data):
+        if len(data) > MAX_EVENT_BYTES:
+            raise errors.AnswerTooLarge(
+                self._server.name, MAX_EVENT_BYTES
+            ).mark_ran(errors.Ran.UNKNOWN)
+        self._partial = data
+
     def _hold_back_usage(self, data, cut):
         """Return the whole events; keep a partial or a usage event back."""
         last = data.rfind(EVENT_END, 0, cut - len(EVENT_END))
@@ -162,18 +206,22 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             chunk = b''
         if not chunk:
-            raise errors.AnswerBroken(self._server.name).mark_ran(
-                errors.Ran.UNKNOWN
-            )
+            raise self._make_failure()
         return chunk
 
+    def _make_failure(self):
+        return errors.AnswerBroken(self._server.name).mark_ran(
+            errors.Ran.UNKNOWN
+        )
+
     async def drain(self):
         """Read the response to its end so that the connection is reusable."""
         with contextlib.suppress(
             aiohttp.ClientError, asyncio.TimeoutError, OSError
         ):
             async with asyncio.timeout(DRAIN_TIMEOUT_S):
-                await self._response.read()
+                while await self._response.content.readany():
+                    pass
 
     def read_usage(self, work_id):
         """Return the usage in the tail; raise if it names another request."""
--- a/arbutuschute/machines/fleet.py
+++ b/arbutuschute/machines/fleet.py
@@ -7,9 +7,12 @@
 import aiohttp
 import msgspec
 
+from arbutuschute import bodies
+from arbutuschute import errors
 from arbutuschute import messages
 
 LOAD_TIMEOUT_S = 1.0
+MAX_LOAD_BYTES = 64 * 1024
 REFUSED_PAUSE_S = 1.0
 UNREACHABLE_PAUSE_S = 2.0
 IN_FLIGHT_HISTORY_S = 3.0
@@ -196,13 +199,16 @@
             f'{server.instance.address}/load',
             timeout=aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S),
         ) as response:
-            body = await response.read()
+            body = await bodies.read_whole(
+                response.content.readany, server.name, MAX_LOAD_BYTES
+            )
             found = msgspec.json.decode(body, type=_LoadBody)
     except (
         aiohttp.ClientError,
         asyncio.TimeoutError,
         msgspec.DecodeError,
         OSError,
+        errors.AnswerTooLarge,
     ):
         return None
     return messages.LoadReport(
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -6,6 +6,7 @@
 import aiohttp
 import yarl
 
+from arbutuschute import bodies
 from arbutuschute import errors
 from arbutuschute import messages
 from arbutuschute.platform import names
@@ -181,11 +182,8 @@
         return chunk
 
     async def read_whole(self):
-        """Return the whole body."""
-        chunks = []
-        while chunk := await self.read():
-            chunks.append(chunk)
-        return b''.join(chunks)
+        """Return the whole body; raise ``AnswerTooLarge`` without end."""
+        return await bodies.read_whole(self.read, self._server.name)
 
     async def read_answer(self):
         """Return the whole ``Answer``."""
--- a/arbutuschute/traffic/events.py
+++ b/arbutuschute/traffic/events.py
@@ -20,16 +20,28 @@
         """Whether the buffer holds the start of an unfinished event."""
         return bool(self._partial.strip())
 
+    @property
+    def partial_bytes(self):
+        """The size of the buffer."""
+        return len(self._partial)
+
+    def take_rest(self):
+        """Return the buffer's bytes, and empty it."""
+        rest, self._partial = self._partial, b''
+        return rest
+
     def feed(self, chunk):
-        """Return the bytes of the events that ``chunk`` completes, if any."""
+        """Return the bytes of the events that ``chunk`` completes, if any.
+
+        Blank lines are no event: they are kept for the next one.
+        """
         data = self._partial + chunk
-        cut = data.rfind(EVENT_END)
-        if cut < 0:
+        cut = data.rfind(EVENT_END) + len(EVENT_END)
+        whole = data[:cut] if cut >= len(EVENT_END) else b''
+        if not whole.strip():
             self._partial = data
             return b''
-        cut += len(EVENT_END)
         self._partial = data[cut:]
-        whole = data[:cut]
         found = _parse_last_id(whole)
         if found is not None:
             self.last_id = found
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -12,6 +12,7 @@
 GAP_TARGETS = 3.5
 # A first event later than this counts as slow; a multiple of the target.
 SLOW_TARGETS = 1.0
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class _AnswerDropped(Exception):
@@ -154,19 +155,33 @@
     return answer
 
 
+def _make_reader(environment, server, attempt, splitter):
+    """Return a coroutine function that reads whole events, ``b''`` at the end.
+
+    It may be cancelled and called again.
+    """
+
+    async def read_events():
+        while chunk := await attempt.read():
+            server.last_heard_at = environment.now()
+            if whole := splitter.feed(chunk):
+                return whole
+            if splitter.partial_bytes > MAX_EVENT_BYTES:
+                raise errors.AnswerTooLarge(
+                    server.name, MAX_EVENT_BYTES
+                ).mark_ran(errors.Ran.UNKNOWN)
+        return b''
+
+    return read_events
+
+
 async def _relay(environment, request, server, stream, attempt, began, limits):
     splitter = events.Splitter()
     gap_meter = events.GapMeter()
-    while True:
-        chunk = await timeouts.wait_for(
-            environment, request, server, attempt.read, limits
-        )
-        server.last_heard_at = environment.now()
-        if not chunk:
-            break
-        whole = splitter.feed(chunk)
-        if not whole:
-            continue
+    read_events = _make_reader(environment, server, attempt, splitter)
+    while whole := await timeouts.wait_for(
+        environment, request, server, read_events, limits
+    ):
         gap_s = gap_meter.add(whole, environment.now())
         _record_gap(environment, request, server, gap_s)
         limits = timeouts.Limits(GAP_TARGETS * request.route.gap_target_s)
@@ -180,6 +195,8 @@
     if not stream.is_started:
         await stream.reply.start(attempt.head)
         stream.is_started = True
+    if rest := splitter.take_rest():
+        await stream.reply.write(rest)
 
 
 def _record_gap(environment, request, server, gap_s):
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -331,6 +331,17 @@
     assert faults[0].startswith('bounds.graceS')
 
 
+# Blank lines without end, after a stream has begun or before.
+def test_blank_lines_are_no_event_and_are_not_lost():
+    splitter = events.Splitter()
+    assert splitter.feed(b'\n\n') == b''
+    assert splitter.feed(b'id: 1\n\n') == b'\n\nid: 1\n\n'
+    assert splitter.feed(b'\n\n\n') == b''
+    assert not splitter.has_partial_event
+    assert splitter.partial_bytes == 3
+    assert splitter.take_rest() == b'\n\n\n'
+
+
 # A stream's pace tells a slow version from its predecessor.
 def test_gap_is_the_mean_time_between_the_first_events():
     meter = events.GapMeter()
