--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -1,5 +1,6 @@
 """Outer names besides records: failures, log lines, metrics, settings."""
 
+import itertools
 import datetime
 import enum
 import importlib
@@ -57,10 +58,16 @@
 USUAL = ('limits.', 'bounds.')
 
 
+def _list_types(base):
+    """Return a class and the classes below it, of any depth."""
+    below = [_list_types(kind) for kind in base.__subclasses__()]
+    return [base, *itertools.chain.from_iterable(below)]
+
+
 def list_failures():
     """Return the problem document of each failure, by its code."""
     found = {}
-    for kind in [errors.Failure, *errors.Failure.__subclasses__()]:
+    for kind in _list_types(errors.Failure):
         fields = getattr(kind, '__dataclass_fields__', ())
         failure = kind(*(f'<{n}>' for n in range(len(fields))))
         exit_status = output.EXIT_BY_FAILURE.get(kind)
