Say live only once the caller port is open

Callers: while a router started, its status and heartbeats said live before its caller port was open; requests sent on that were refused a connection.

Cause: Router.start set the state and then began to listen. Now it listens first. tests/test_start.py holds the port closed for half a second and failed before: the state was live meanwhile.

--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -249,11 +249,12 @@
             lambda: agreement.is_confirmed(environment),
             environment.settings.control.lease_s,
         )
-        environment.state = 'live'
         await self._serve(
             caller.CallerLink(environment).make_app(),
             environment.settings.listen,
         )
+        # Peers and the load balancer may send requests from here on.
+        environment.state = 'live'
         environment.log.info(
             'started', offset=environment.configuration.offset
         )
