Tests: wait for the first attempt of a link to end, not for 0.1 s

Two tests of the peer link failed once each beside other runs; in one the message arrived before the reconnect. They leaned on a first attempt within 0.1 s. Now a listener takes that attempt and ends it.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -49,6 +49,22 @@
     return first.done()
 
 
+async def connect_in_vain(link, port):
+    """Connect to ``b`` at a port where the first attempt certainly ends."""
+    ended = asyncio.Event()
+
+    async def end(_, writer):
+        writer.close()
+        await writer.wait_closed()
+        ended.set()
+
+    server = await asyncio.start_server(end, cluster.HOST, port)
+    link.connect({'b': f'{cluster.HOST}:{port}'}, {'b'})
+    await asyncio.wait_for(ended.wait(), 10)
+    server.close()
+    await server.wait_closed()
+
+
 @pytest.fixture
 def no_retries(monkeypatch):
     """Put ZeroMQ's own next attempt beyond the end of the test."""
@@ -62,8 +78,7 @@
     port_a, port_b = cluster.find_free_ports(2)
     keys = cluster.make_keys()
     ours = peer.PeerLink(make_peers(port_a, keys), Sink())
-    ours.connect({'b': f'{cluster.HOST}:{port_b}'}, {'b'})
-    await asyncio.sleep(0.1)  # the first attempt is refused
+    await connect_in_vain(ours, port_b)
     theirs = peer.PeerLink(make_peers(port_b, keys), Sink())
     first, receiving = await receive_one(theirs)
     try:
@@ -95,8 +110,7 @@
     port_a, port_b = cluster.find_free_ports(2)
     keys = cluster.make_keys()
     ours = peer.PeerLink(make_peers(port_a, keys), Sink())
-    ours.connect({'b': f'{cluster.HOST}:{port_b}'}, {'b'})
-    await asyncio.sleep(0.1)
+    await connect_in_vain(ours, port_b)
     assert not ours.is_connected('b')
     theirs = peer.PeerLink(make_peers(port_b, keys), Sink())
     first, receiving = await receive_one(theirs)
