Don't cut a zone off while its reader is silent

Callers: when the instance that reads the store for its zone fell silent, all its peers could refuse requests at the same moment, with 503 and cut-off.

Cause: a peer that got no response from the reader read the store with the full long poll, and an empty long poll confirms nothing before it ends. Age of the reader's record, its time limit and the long poll add up: with the lease of the deployments (4.4 s) to more than it if a read of the store takes 0.4 s, and with the lease of 1.2 s in the tests of two builds nearly always.

Fix: the store may hold a request only until the last confirmation has the age that is accepted from the reader, as the reader itself may. That age is at most the lease less the time limit of a silent reader and of a read.

--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -33,6 +33,8 @@
 ZONE_READER_WAIT_SHARE = 0.5
 # Slack for a late read by the zone's reader.
 LATE_READ_SLACK_S = 0.4
+# Time to read the store after its reader has not responded.
+DIRECT_READ_S = 0.2
 # Entries that lapsed in an outage of the store are back within this time.
 RETURN_AFTER_OUTAGE_S = 2.0
 
@@ -130,7 +132,7 @@
         if page is None:
             if not is_direct and self._timer.now() < self._direct_retry_at:
                 return result.Failure(errors.StoreDown('left to the reader'))
-            answer = await self._read_store(wait_s)
+            answer = await self._read_store(self._limit_wait(wait_s))
             self._back_off_direct_reads(answer)
             if isinstance(answer, result.Failure):
                 return answer
@@ -142,6 +144,17 @@
         self._apply_page(page)
         return result.Success(page.next >= page.end)
 
+    def _limit_wait(self, wait_s):
+        """Return how long the store may wait for new records.
+
+        A response without records confirms nothing before it arrives. While
+        the zone's reader fails, the last confirmation may be old already.
+        """
+        if self._read_limits is None:
+            return wait_s
+        fresh_until = self.confirmed_at + self._read_limits.max_age_s
+        return min(wait_s, max(0.0, fresh_until - self._timer.now()))
+
     def _back_off_direct_reads(self, answer):
         """Retry an unavailable store less often if the reader does so, too."""
         now = self._timer.now()
@@ -233,9 +246,15 @@
         self._wait_s = min(
             MAX_OPERATOR_WAIT_S, WAIT_SHARE_OF_LEASE * freshness.lease_s
         )
-        read_limits = readers.ReadLimits(
-            ZONE_READER_WAIT_SHARE * self._wait_s,
+        peer_wait_s = ZONE_READER_WAIT_SHARE * self._wait_s
+        # Records of this age leave time to read the store if the next request
+        # to the reader gets no response.
+        max_age_s = min(
             self._wait_s + LATE_READ_SLACK_S,
+            freshness.lease_s - readers.SILENCE_S - DIRECT_READ_S,
+        )
+        read_limits = readers.ReadLimits(
+            peer_wait_s, max(max_age_s, peer_wait_s)
         )
         self._topic = TopicFollower(
             store, timer, configuration.TOPIC, log, self._apply,
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -16,6 +16,8 @@
 # A zone peer takes over from a reader that has failed for this long; a killed
 # process is back within 2 s.
 TAKEOVER_AFTER_S = 2.5
+# How long a silent reader holds a request up beyond the wait that it allows.
+SILENCE_S = log_cache_module.RESPONSE_TIMEOUT_S
 # Spreads the takeovers of peers that notice a lost reader at the same time:
 # they then read the first one's record before they write their own.
 TAKEOVER_JITTER_S = 1.5
