Own interface: compare a new version's pace with the old one's, too

Callers of the own interface had the same fault as those on the platform: a version whose first token and rate stayed within fixed targets was never slow, however much slower than the version before it.

Now seconds per token or event are also counted as multiples of the median of the version before, by step of the roll-out, with the same comparison as on the platform; a step that sends all sessions to the new version is left out.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -10,6 +10,7 @@
 from arbutuschute.policy import migration
 from arbutuschute import pools
 from arbutuschute import rollouts
+from arbutuschute.traffic import events
 
 MAX_RESUMES = 2
 CHAT_PATH = '/v1/chat/completions'
@@ -178,9 +179,11 @@
     async def _relay_events(self, reader, server, started_at):
         environment = self._environment
         pace = environment.paces.get(self._version.pair)
+        gap_meter = events.GapMeter()
         requested_at = environment.timer.now()
-        while events := await reader.read():
+        while received := await reader.read():
             now = environment.timer.now()
+            self._record_gap(gap_meter.add(received, now))
             seen, reader.events = reader.events, 0
             if not self._work.answer_started:
                 await self._start(server)
@@ -190,9 +193,17 @@
             else:
                 pace.observe(server.name, now - requested_at, seen, now)
             self._bill.tokens += seen
-            await self._reply.write(events)
+            await self._reply.write(received)
             self._migrate_if_slow(server, pace)
             requested_at = environment.timer.now()
+        self._record_gap(gap_meter.finish())
+
+    def _record_gap(self, gap_s):
+        """Record the time between a stream's events, unless it is None."""
+        if gap_s is not None:
+            rollouts.record_pace(
+                self._environment, self._work, self._version, 'stream', gap_s
+            )
 
     def _migrate_if_slow(self, server, pace):
         """Migrate from a server that is much slower than its pool.
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -32,6 +32,7 @@
 from arbutuschute.machines import fleet
 from arbutuschute import metrics
 from arbutuschute import orders
+from arbutuschute.policy import baseline
 from arbutuschute.policy import guard
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
@@ -80,6 +81,7 @@
     environment.paces = pace.Paces()
     environment.migration_budget = migration.Budget()
     environment.guard = guard.Guard()
+    environment.baseline = baseline.Baseline(environment.timer.now)
     environment.halts = set()
     environment.learners = learners.Learners()
     environment.rating_client = rating.RatingClient(
--- a/arbutuschute/environment.py
+++ b/arbutuschute/environment.py
@@ -6,6 +6,7 @@
 
     __slots__ = (
         'admission',
+        'baseline',
         'bill_commit',
         'bill_replicas',
         'bill_replicator',
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -10,7 +10,8 @@
 # Rises of the rate of slower responses that the test looks for.
 PACE_EFFECTS = (0.15, 0.3, 0.6)
 # Both versions are compared within a step, as the load changes between steps.
-# At the last step the old version gets no requests.
+# At the last step the old version gets no requests. These are the steps of an
+# operator's order on the platform.
 COMPARED_STEPS = range(2)
 # The signals of a failure and of a missed target count over the whole time.
 SIGNALS = ('error', 'slow')
@@ -32,6 +33,25 @@
     return [name_signal(p, step) for p in PACES for step in COMPARED_STEPS]
 
 
+def is_slower(pace, steps, sum_counts):
+    """Return whether the new version is slower, by all steps together.
+
+    The evidence of separate steps multiplies. ``sum_counts(side, signal)``
+    returns (slower responses, compared ones).
+    """
+    evidence = 1.0
+    for step in steps:
+        signal = name_signal(pace, step)
+        old = sum_counts('old', signal)
+        if old[1] >= MIN_PACE_REFERENCE:
+            evidence *= guard.compute_evidence(
+                *sum_counts('new', signal),
+                guard.compute_upper_rate(*old),
+                PACE_EFFECTS,
+            )
+    return guard.is_sufficient(evidence)
+
+
 class Comparison:
     """Counts of one roll-out, as (failures, trials) by side and signal.
 
@@ -82,33 +102,19 @@
 
     def is_bad(self, instance):
         """Return whether the new version is worse by any signal."""
-        if any(self._is_slower(pace, instance) for pace in PACES):
+
+        def sum_counts(side, signal):
+            return self.sum_counts(side, signal, instance)
+
+        if any(is_slower(pace, COMPARED_STEPS, sum_counts) for pace in PACES):
             return True
         return any(
             guard.is_worse(
-                self.sum_counts('new', signal, instance),
-                self.sum_counts('old', signal, instance),
+                sum_counts('new', signal), sum_counts('old', signal)
             )
             for signal in SIGNALS
         )
 
-    def _is_slower(self, pace, instance):
-        """Return whether all steps together show slower responses.
-
-        The evidence of separate steps multiplies.
-        """
-        evidence = 1.0
-        for step in COMPARED_STEPS:
-            signal = name_signal(pace, step)
-            old = self.sum_counts('old', signal, instance)
-            if old[1] >= MIN_PACE_REFERENCE:
-                evidence *= guard.compute_evidence(
-                    *self.sum_counts('new', signal, instance),
-                    guard.compute_upper_rate(*old),
-                    PACE_EFFECTS,
-                )
-        return guard.is_sufficient(evidence)
-
     def has_enough_trials(self, instance):
         """Return whether the new version was tried enough to advance."""
         _, trials = self.sum_counts('new', 'error', instance)
--- a/arbutuschute/rollouts.py
+++ b/arbutuschute/rollouts.py
@@ -10,6 +10,7 @@
 from arbutuschute.contracts import fold
 from arbutuschute import errors
 from arbutuschute import messages
+from arbutuschute.policy import comparison
 from arbutuschute import streams
 
 MAX_EVALUATORS = 2
@@ -21,7 +22,10 @@
 
 
 def _find_subjects(environment, work, version):
-    """Yield the subjects under which a run on ``version`` is counted."""
+    """Yield the subjects under which a run on ``version`` is counted.
+
+    Each comes with its replacement rule and the progress of the roll-out.
+    """
     if version is None:
         return
     rollouts = environment.configuration.rollouts
@@ -34,7 +38,7 @@
         progress = rollouts.get(key)
         if progress is not None and not progress.halted:
             side = 'new' if version.version == rule.new else 'old'
-            yield format_subject(key, progress, side)
+            yield format_subject(key, progress, side), rule, progress
 
 
 def format_subject(key, progress, side):
@@ -47,13 +51,13 @@
     failed = isinstance(failure, VERSION_FAULTS)
     if not failed:
         return
-    for subject in _find_subjects(environment, work, version):
+    for subject, _, _ in _find_subjects(environment, work, version):
         environment.guard.record(subject, 'error', True)
 
 
 def record_first_token(environment, work, version, took_s):
     """Count a started stream, and whether its first token was late."""
-    for subject in _find_subjects(environment, work, version):
+    for subject, _, _ in _find_subjects(environment, work, version):
         environment.guard.record(subject, 'error', False)
         environment.guard.record(
             subject, 'slow', took_s > FIRST_TOKEN_TARGET_S
@@ -63,9 +67,30 @@
 def record_answer(environment, work, version, took_s, tokens):
     """Count a whole answer, and whether it exceeded its time limit."""
     limit_s = FIRST_TOKEN_TARGET_S + tokens * TOKEN_TARGET_S
-    for subject in _find_subjects(environment, work, version):
+    for subject, _, _ in _find_subjects(environment, work, version):
         environment.guard.record(subject, 'error', False)
         environment.guard.record(subject, 'slow', took_s > limit_s)
+    if tokens:
+        record_pace(environment, work, version, 'whole', took_s / tokens)
+
+
+def record_pace(environment, work, version, kind, seconds):
+    """Count a response time against the usual one of the version before.
+
+    ``seconds`` are those per token or event; ``kind`` tells them apart.
+    """
+    key = version.model, kind
+    ratio = environment.baseline.compute_ratio(key, seconds)
+    is_new = False
+    for subject, rule, progress in _find_subjects(environment, work, version):
+        is_new = is_new or version.version == rule.new
+        if ratio is None or rule.steps[progress.step] >= 1.0:
+            continue
+        for pace, limit in comparison.PACES.items():
+            signal = comparison.name_signal(pace, progress.step)
+            environment.guard.record(subject, signal, ratio > limit)
+    if not is_new:
+        environment.baseline.add(key, seconds)
 
 
 class RolloutControl:
@@ -125,7 +150,9 @@
             return
         new = format_subject(key, progress, 'new')
         old = format_subject(key, progress, 'old')
-        signal = environment.guard.find_fault(new, old)
+        signal = environment.guard.find_fault(new, old) or self._find_slower(
+            progress.step, new, old
+        )
         if signal is not None:
             await self._halt(key, progress, signal, new)
             return
@@ -147,6 +174,19 @@
                 )
             )
 
+    def _find_slower(self, last_step, new, old):
+        """Return the signal by which ``new`` is slower, or None."""
+
+        def sum_counts(side, signal):
+            return self._environment.guard.sum_counts(
+                new if side == 'new' else old, signal
+            )
+
+        for pace in comparison.PACES:
+            if comparison.is_slower(pace, range(last_step + 1), sum_counts):
+                return comparison.name_signal(pace, last_step)
+        return None
+
     def _find_rule(self, key):
         name = key.partition('/')[0]
         published = self._environment.configuration.profiles.get(name)
--- a/tests/scenarios/rollout.feature
+++ b/tests/scenarios/rollout.feature
@@ -25,3 +25,13 @@
     When "r2" is killed
     And callers send 300 requests to "r1, r3"
     Then every instance has halted "rapport:2"
+
+  Scenario: every instance halts a version that is slower but in time
+    When "e2" becomes 6 times slower
+    And callers send 300 requests to "r1, r2, r3"
+    Then every instance has halted "rapport:2"
+
+  Scenario: a version of the same pace is not halted
+    When callers send 300 requests to "r1, r2, r3"
+    And callers send 300 requests to "r1, r2, r3"
+    Then no instance has halted a version
--- a/tests/scenarios/then_steps.py
+++ b/tests/scenarios/then_steps.py
@@ -1,5 +1,6 @@
 """Then steps: checks of answers, bills, runs and states."""
 
+import asyncio
 import collections
 import json
 
@@ -126,6 +127,17 @@
     world.run(deployment.wait_for(halted, f'{version} halted everywhere'))
 
 
+@then('no instance has halted a version')
+def check_none_halted(world):
+    # An evaluation follows each heartbeat.
+    world.run(asyncio.sleep(5 * deployment.FAST_CONTROL['heartbeat_s']))
+    statuses = [
+        world.run(world.deployed.get_status(n)) for n in world.live_routers
+    ]
+    assert statuses
+    assert all(status['halted'] == [] for status in statuses)
+
+
 @then('every instance has the same configuration')
 def check_digests(world):
     deployed = world.deployed
