--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -1,10 +1,10 @@
 """Outer names besides records: failures, log lines, metrics, settings."""
 
-import itertools
 import datetime
 import enum
 import importlib
 import inspect
+import itertools
 import json
 import pathlib
 import pkgutil
