Pass a large configuration on within a zone, and don't give up its transfer

Callers: after the configuration had grown by many routes, clients of the region away from the store were refused or served late.

Cause: the zone's reader left responses over 24 KB to the store, so all 44 instances of the region fetched each version, of some 400 KB, over the link between the regions at once: several seconds of it. Each call was given up after its wait and 1.5 s, and sent again from the start, so the link stayed full; leases ran out, and the servers' own entries were late, too. Class: a retry that repeats the whole work of a transfer which its time limit cut.

Fix: large records are compressed, once for all peers, and passed on by the zone's reader. Reads of the store and of the reader are limited by silence; a transfer under way has 10 s and 3 s. A peer asks for compressed records, so builds of both sides of this change may mix.

The test of two instances failed before: the configuration was read from the store twice.

--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -12,6 +12,9 @@
 
 # The store responds in about 4 ms, and in a few hundred on slow days.
 CALL_TIMEOUT_S = 1.5
+# A large response may take longer on a busy link. Giving it up would only send
+# it once more.
+TRANSFER_TIMEOUT_S = 10.0
 _ENDS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -125,7 +128,7 @@
                 self._base + path,
                 params=query,
                 data=body,
-                timeout=aiohttp.ClientTimeout(total=wait_s + CALL_TIMEOUT_S),
+                timeout=_make_timeout(method, wait_s),
             ) as response:
                 raw = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
@@ -137,6 +140,18 @@
         return result.Failure(errors.StoreDown(f'{path} {response.status}'))
 
 
+def _make_timeout(method, wait_s):
+    """Return the limits of a call; reads are limited by silence."""
+    silence_s = wait_s + CALL_TIMEOUT_S
+    if method != 'GET':
+        return aiohttp.ClientTimeout(total=silence_s)
+    return aiohttp.ClientTimeout(
+        total=wait_s + TRANSFER_TIMEOUT_S,
+        sock_connect=CALL_TIMEOUT_S,
+        sock_read=silence_s,
+    )
+
+
 def split_keyed(raw, offset):
     """Return the ``Record`` in a keyed topic's bytes, None if malformed."""
     if not raw or len(raw) < 1 + raw[0]:
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import zlib
 
 import aiohttp
 from aiohttp import web
@@ -18,12 +19,17 @@
 # Limits of one topic's cache: enough for a peer that is a few reads behind.
 # One that is further behind reads the store.
 MAX_RECORDS = 2000
-MAX_BYTES = 512 * 1024
+MAX_BYTES = 1024 * 1024
 # Larger responses are left to the store: a dozen copies at once would fill
-# the link of the smallest machines (5 Mbit/s) for a second.
-MAX_RESPONSE_BYTES = 24 * 1024
-# A healthy peer in the same zone responds within a millisecond.
+# the link of the smallest machines (5 Mbit/s) for two seconds.
+MAX_RESPONSE_BYTES = 96 * 1024
+# Larger records are compressed, if the peer accepts that.
+MIN_COMPRESSED_BYTES = 4 * 1024
+MAX_RECORD_BYTES = 8 * 1024 * 1024
+# A healthy peer in the same zone responds within a millisecond; a large
+# response may then take long on a busy link.
 RESPONSE_TIMEOUT_S = 0.4
+TRANSFER_TIMEOUT_S = 3.0
 # No follower requests a longer wait than its own polling period.
 MAX_WAIT_S = 30.0
 PATH = '/tail'
@@ -34,7 +40,8 @@
 
     ``age_s`` is how long before the response the store was known to have
     nothing after ``end``; ``held_s`` is how long the request was held. Both
-    are on the responding instance's clock.
+    are on the responding instance's clock. ``compressed`` holds the positions
+    of the records that are compressed.
     """
 
     start: int
@@ -42,6 +49,7 @@
     age_s: float
     held_s: float
     records: tuple[bytes, ...]
+    compressed: tuple[int, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(CacheResponse)
@@ -55,6 +63,7 @@
 
     __slots__ = (
         '_bytes',
+        '_compressed',
         '_records',
         '_records_added',
         'confirmed_at',
@@ -64,6 +73,8 @@
 
     def __init__(self):
         self._bytes = 0
+        # Compressed copies of large records, by offset.
+        self._compressed = {}
         self._records_added = asyncio.Event()
         self._records = collections.deque()
         self.first = self.end = 0
@@ -73,6 +84,7 @@
         """Add records read from the store; clear older ones after a gap."""
         if start != self.end:
             self._records.clear()
+            self._compressed.clear()
             self._bytes = 0
             self.first = self.end = start
         self._records.extend(records)
@@ -82,6 +94,7 @@
             len(self._records) > MAX_RECORDS or self._bytes > MAX_BYTES
         ):
             self._bytes -= len(self._records.popleft())
+            self._compressed.pop(self.first, None)
             self.first += 1
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if records:
@@ -99,6 +112,24 @@
             return ()
         return tuple(self._records)[skipped:]
 
+    def compress(self, start, records):
+        """Return records at ``start`` with large ones compressed.
+
+        The second value holds their positions. Each is compressed once, for
+        all peers.
+        """
+        sent = list(records)
+        positions = []
+        for position, raw in enumerate(records):
+            if len(raw) < MIN_COMPRESSED_BYTES:
+                continue
+            offset = start + position
+            if offset not in self._compressed:
+                self._compressed[offset] = zlib.compress(raw)
+            sent[position] = self._compressed[offset]
+            positions.append(position)
+        return tuple(sent), tuple(positions)
+
     async def wait_past(self, start, seconds):
         """Wait at most ``seconds`` until there is a record at ``start``."""
         try:
@@ -125,10 +156,11 @@
             cache = self._by_topic[topic] = TopicCache()
         cache.extend(start, records, confirmed_at)
 
-    async def get_records(self, topic, start, wait_s):
+    async def get_records(self, topic, start, wait_s, compresses=False):
         """Return a ``CacheResponse``, None if the peer must read the store.
 
-        Wait at most ``wait_s`` for a record at ``start``.
+        Wait at most ``wait_s`` for a record at ``start``. With ``compresses``
+        large records are compressed.
         """
         received_at = self._now()
         cache = self._by_topic.get(topic)
@@ -137,7 +169,9 @@
         await cache.wait_past(start, wait_s)
         if not cache.has(start):
             return None
-        records = cache.copy(start)
+        records, compressed = cache.copy(start), ()
+        if compresses:
+            records, compressed = cache.compress(start, records)
         if sum(map(len, records)) > MAX_RESPONSE_BYTES:
             return None
         now = self._now()
@@ -147,6 +181,7 @@
             now - cache.confirmed_at,
             now - received_at,
             records,
+            compressed,
         )
 
     async def answer(self, request):
@@ -156,11 +191,12 @@
             topic = query['topic']
             start = int(query['start'])
             wait_s = float(query['wait_s'])
+            compresses = query.get('compresses') == '1'
         except (KeyError, ValueError):
             return web.Response(status=400)
         if not 0.0 <= wait_s <= MAX_WAIT_S:
             return web.Response(status=400)
-        found = await self.get_records(topic, start, wait_s)
+        found = await self.get_records(topic, start, wait_s, compresses)
         if found is None:
             return web.Response(status=404)
         return web.Response(body=msgspec.msgpack.encode(found))
@@ -173,20 +209,47 @@
     if the peer can't serve those records, ``ReaderSilent`` if it didn't
     respond in time.
     """
-    query = {'topic': topic, 'start': str(start), 'wait_s': f'{wait_s:.3f}'}
-    timeout = aiohttp.ClientTimeout(total=wait_s + RESPONSE_TIMEOUT_S)
+    query = {
+        'topic': topic,
+        'start': str(start),
+        'wait_s': f'{wait_s:.3f}',
+        'compresses': '1',
+    }
+    timeout = aiohttp.ClientTimeout(
+        total=wait_s + TRANSFER_TIMEOUT_S,
+        sock_connect=RESPONSE_TIMEOUT_S,
+        sock_read=wait_s + RESPONSE_TIMEOUT_S,
+    )
     try:
         async with session.get(
             f'http://{address}{PATH}', params=query, timeout=timeout
         ) as response:
             raw = await response.read()
             if response.status == 200:
-                return result.Success(_decoder.decode(raw))
+                return result.Success(_expand(_decoder.decode(raw)))
     except (
         aiohttp.ClientError,
         asyncio.TimeoutError,
         OSError,
         msgspec.DecodeError,
+        zlib.error,
     ) as error:
         return result.Failure(errors.ReaderSilent(address, repr(error)))
     return result.Failure(errors.StoreGap(topic))
+
+
+def _expand(response):
+    """Return a response with all records as they are in the store."""
+    if not response.compressed:
+        return response
+    records = list(response.records)
+    for position in response.compressed:
+        expander = zlib.decompressobj()
+        records[position] = expander.decompress(
+            records[position], MAX_RECORD_BYTES
+        )
+        if not expander.eof:
+            raise msgspec.DecodeError('record too large')
+    return msgspec.structs.replace(
+        response, records=tuple(records), compressed=()
+    )
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -23,6 +23,7 @@
         self.lost_appends = 0
         self.broken_topics = set()
         self.reads = 0
+        self.bytes_read = 0
         self._appended = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -107,6 +108,7 @@
         body = struct.pack('>QQ', len(records), first)
         for raw in records[start:]:
             body += struct.pack('>I', len(raw)) + raw
+        self.bytes_read += len(body)
         return web.Response(body=body)
 
     async def _wait_past(self, topic, start):
--- a/tests/platform/test_zone_peers.py
+++ b/tests/platform/test_zone_peers.py
@@ -6,6 +6,7 @@
 from tests.platform import conftest
 
 SETTLE_S = 2.0
+ROUTES = 1400
 
 
 @contextlib.asynccontextmanager
@@ -99,3 +100,22 @@
     query = {'topic': 'another', 'start': '0', 'wait_s': '0'}
     async with world.http.get(base, params=query) as response:
         assert response.status == 404
+
+
+async def test_large_configuration_is_read_from_the_store_once(world):
+    """Each copy would cross the link between the regions."""
+    await world.start()
+    await conftest.wait_for(lambda: world.instance.reader.is_reader)
+    async with start_peer(world) as peer:
+        await asyncio.sleep(SETTLE_S)
+        before = world.store.bytes_read
+        added = [conftest.make_route(f'r{n}', 'idempotent') for n in
+                 range(ROUTES)]  # fmt: skip
+        changed = conftest.make_configuration(2, added)
+        world.store.put('keyed.op', 'config', changed)
+        for one in (world.instance, peer):
+            await conftest.wait_for(
+                lambda one=one: one.environment.table.version == 2, 2.0
+            )
+        size = len(world.store.find('keyed.op', 'config'))
+        assert world.store.bytes_read - before < 1.5 * size
