Prefer machines with wide links as readers of a zone

Suspected cause: the reader sends each version to its twelve peers, 4 to 5 Mbit at once, and most machines there have 5 Mbit/s (10 with thin 0.5). Now a machine with less than 100 Mbit/s leaves the role to wider links for up to a second.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -104,7 +104,7 @@
         self.reader = readers.ZoneReader(
             client, self._sessions[1], self._timer, self._log,
             environment.random, self._log_cache, settings.zone,
-            str(settings.zone_peers), identity,
+            str(settings.zone_peers), identity, settings.link_mbps,
         )  # fmt: skip
         self.operator = followers.OperatorFollower(
             client, self._timer, self._log, environment.freshness,
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -21,6 +21,11 @@
 # Spreads the takeovers of peers that notice a lost reader at the same time:
 # they then read the first one's record before they write their own.
 TAKEOVER_JITTER_S = 1.5
+# A reader sends each large record to all peers of its zone, which holds up the
+# requests on a thin link. Machines with a thinner link than this wait longer
+# before they take over.
+WIDE_LINK_MBPS = 100.0
+THIN_LINK_DELAY_S = 1.0
 # A reader that failed is not queried for this long; the store is read instead.
 RETRY_AFTER_S = 0.5
 CHECK_PERIOD_S = 0.5
@@ -28,6 +33,12 @@
 OWN_CHECK_PERIOD_S = 10.0
 
 
+def compute_takeover_delay_s(link_mbps):
+    """Return how long a machine leaves the role to those with wider links."""
+    share = min(1.0, link_mbps / WIDE_LINK_MBPS)
+    return THIN_LINK_DELAY_S * (1.0 - share)
+
+
 class ReadLimits(msgspec.Struct, frozen=True):
     """Limits of a read through the zone's reader.
 
@@ -50,10 +61,11 @@
     __slots__ = ('_entry', '_failing_since', '_failure_cause', '_is_healthy',
                  '_is_reader_answering', '_key', '_log', '_log_cache',
                  '_own_entry', '_random', '_retry_at', '_session',
-                 '_stale_cause', '_store', '_timer')  # fmt: skip
+                 '_stale_cause', '_store', '_takeover_delay_s',
+                 '_timer')  # fmt: skip
 
     def __init__(self, store, session, timer, log, random, log_cache, zone,
-                 address, identity):  # fmt: skip
+                 address, identity, link_mbps=WIDE_LINK_MBPS):  # fmt: skip
         self._store = store
         self._session = session
         self._timer = timer
@@ -62,6 +74,7 @@
         self._log_cache = log_cache
         self._key = f'reader/{zone}'
         self._own_entry = _Entry(address, identity)
+        self._takeover_delay_s = compute_takeover_delay_s(link_mbps)
         self._entry = None
         self._retry_at = float('-inf')
         self._failing_since = timer.now()
@@ -174,7 +187,9 @@
         if self._is_healthy:
             self._is_healthy = False
             self._log.warning('zone reader lost', cause=self._failure_cause)
-        await self._timer.sleep(TAKEOVER_JITTER_S * self._random.random())
+        await self._timer.sleep(
+            self._takeover_delay_s + TAKEOVER_JITTER_S * self._random.random()
+        )
         known = self._entry
         if not await self._refresh_entry() or self._entry != known:
             return
--- a/arbutuschute/platform/settings.py
+++ b/arbutuschute/platform/settings.py
@@ -10,6 +10,7 @@
 PATH_VARIABLE = 'ARBUTUSCHUTE_SETTINGS'
 DEFAULT_PATH = '/etc/arbutuschute/node.conf'
 # Must match the port in the deploy file.
+LINK_MBPS = 1000.0
 METRICS_PORT = 9464
 
 
@@ -52,6 +53,7 @@
     regions_by_zone: dict[str, str]
     bounds: Bounds
     max_descriptors: int = 4096
+    link_mbps: float = LINK_MBPS
     metrics_port: int = METRICS_PORT
 
 
@@ -106,6 +108,7 @@
         },
         bounds=_decode_bounds(read),
         max_descriptors=int(read.number('limits.maxFds', 4096)),
+        link_mbps=read.number('limits.linkMbps', LINK_MBPS),
     )
 
 
--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -43,6 +43,7 @@
     'platform.address': ('10.0.0.3:82', lambda s: str(s.store)),
     'portRange': ('700,709', lambda s: str(s.zone_peers)),
     'zones.z-1': ('r-1', lambda s: s.regions_by_zone['z-1']),
+    'limits.linkMbps': ('77', lambda s: s.link_mbps),
     'limits.maxFds': ('99', lambda s: s.max_descriptors),
     'bounds.drainMs': ('1100', lambda s: s.bounds.drain_s),
     'bounds.graceS': ('12', lambda s: s.bounds.stop_s),
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -76,6 +76,8 @@
     assert (await cache.get_records(TOPIC, 9000, 0.0)).records == (b'a',)
 
 
+# The first check, and the longest delay before a takeover.
+ELECTED_AFTER_S = 0.5 + 2.5
 LARGE = b''.join(b'route %d of service %d;' % (n, n % 3) for n in range(9000))
 
 
@@ -407,6 +409,35 @@
         return result.Success(self.writes)
 
 
+async def elect_reader(seed, links):
+    """Start instances at once; return the number of the one that reads."""
+    timer, registry = stepping.SteppedTimer(), RegistryStore()
+    made = [
+        readers.ZoneReader(
+            registry, None, timer, test_followers.Log(),
+            random.Random(f'{seed}/{number}'), log_cache.LogCache(timer.now),
+            'a', f'peer:{number}', f'peer-{number}/1', link_mbps,
+        )
+        for number, link_mbps in enumerate(links)
+    ]  # fmt: skip
+    async with stepping.run_together([one.run() for one in made]):
+        await timer.run_until(ELECTED_AFTER_S)
+    (record,) = registry.records.values()
+    entry = msgspec.json.decode(record.value)
+    return int(entry['address'].partition(':')[2])
+
+
+async def test_reader_is_rather_a_machine_with_a_wide_link():
+    """Copies of a large configuration hold up requests on a thin link."""
+    links = [5.0] * 11 + [100.0] * 2
+    elected = [await elect_reader(seed, links) for seed in range(12)]
+    assert sum(number >= 11 for number in elected) >= 9
+
+
+async def test_machines_with_thin_links_alone_elect_a_reader():
+    assert await elect_reader(1, [5.0] * 13) in range(13)
+
+
 async def test_one_of_many_peers_becomes_the_reader_and_is_replaced(
     monkeypatch,
 ):
