--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,55 @@
+"""Time limits of calls to the store: silence ends a read, slowness doesn't.
+
+Guards against giving up a large transfer on a busy link and sending it again
+from the start: then the link stays full, and no reader ever has it all.
+"""
+
+import asyncio
+import struct
+
+from aiohttp import web
+from returns import result
+
+from arbutuschute.platform import store
+from tests import test_log_cache
+
+RECORD = b'\x01k' + b'x' * 5000
+PARTS = 10
+GAP_S = store.CALL_TIMEOUT_S / 5
+
+
+async def trickle(request):
+    """Send a page of one record in parts, over twice a call's time limit."""
+    body = struct.pack('>QQI', 1, 0, len(RECORD)) + RECORD
+    response = web.StreamResponse()
+    response.content_length = len(body)
+    await response.prepare(request)
+    size = len(body) // PARTS + 1
+    for start in range(0, len(body), size):
+        await response.write(body[start : start + size])
+        await asyncio.sleep(GAP_S)
+    return response
+
+
+async def hang(request):
+    await asyncio.sleep(30.0)
+
+
+async def measure_read(answer):
+    """Read from a store; return (result, seconds)."""
+    async with test_log_cache.serve(answer) as (session, address):
+        began = asyncio.get_running_loop().time()
+        found = await store.Store(session, address).read('t', 0)
+        return found, asyncio.get_running_loop().time() - began
+
+
+async def test_slow_transfer_is_read_to_its_end():
+    found, took_s = await measure_read(trickle)
+    assert found.unwrap().records == (RECORD,)
+    assert took_s > store.CALL_TIMEOUT_S
+
+
+async def test_silent_store_is_given_up_in_time():
+    found, took_s = await measure_read(hang)
+    assert isinstance(found, result.Failure)
+    assert took_s < store.CALL_TIMEOUT_S + 0.5
