--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -84,7 +84,7 @@
 @contextlib.asynccontextmanager
 async def serve(answer):
     """Serve HTTP requests; yield (client session, address)."""
-    runner = web.ServerRunner(web.Server(answer))
+    runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
     host, port = runner.addresses[0]
