--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -166,7 +166,11 @@
             extra['X-Resume-From'] = str(self._bill.tokens)
         started_at = self._environment.timer.now()
         async with self._open(server, CHAT_PATH, **extra) as response:
-            reader = engine.EventReader(response, server)
+            reader = engine.EventReader(
+                response,
+                server,
+                min(engine.STALL_TIMEOUT_S, self._remaining_s),
+            )
             await self._relay_events(reader, server, started_at)
             usage = reader.read_usage(self._work.id)
             self._work.record_ran(errors.Ran.YES)
--- a/arbutuschute/platform/settings.py
+++ b/arbutuschute/platform/settings.py
@@ -10,8 +10,9 @@
 PATH_VARIABLE = 'ARBUTUSCHUTE_SETTINGS'
 DEFAULT_PATH = '/etc/arbutuschute/node.conf'
 # Must match the port in the deploy file.
-LINK_MBPS = 1000.0
 METRICS_PORT = 9464
+# The link of a machine whose settings name none.
+LINK_MBPS = 1000.0
 
 
 class Address(msgspec.Struct, frozen=True):
