Don't advance a version that is probably slower

Cause: in a roll-out of 15 s the new version has eight to ten compared responses at the first step. Of them 8 of 10 were slower, against 30 in 100 of the old version: not enough to halt it, and nothing kept it from the next step. Now evidence above 10 does, and at the end of the time such a version is rolled back.

tests/test_canary.py: the test of a suspect version failed before.

--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -216,7 +216,7 @@
         duration = self.order.duration_s
         if elapsed < RAMP_FROM * duration:
             return None
-        if not self.comparison.has_enough_trials(instance):
+        if not self.comparison.may_advance(instance):
             if elapsed < END_BY * duration:
                 return None
             return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -19,6 +19,9 @@
 # times were compared. If all of these are slower, they suffice to reject.
 MIN_TRIALS = 12
 MIN_COMPARED = 8
+# A version of which this much speaks for being slower is not advanced. A good
+# one ever comes that far in one roll-out of ten at most.
+MAX_EVIDENCE_TO_ADVANCE = 10.0
 # Responses of the old version in a step without which the step says nothing.
 MIN_PACE_REFERENCE = 20
 
@@ -33,8 +36,8 @@
     return [name_signal(p, step) for p in PACES for step in COMPARED_STEPS]
 
 
-def is_slower(pace, steps, sum_counts):
-    """Return whether the new version is slower, by all steps together.
+def compute_evidence(pace, steps, sum_counts):
+    """Return the e-value against 'the new version is as fast as the old'.
 
     The evidence of separate steps multiplies. ``sum_counts(side, signal)``
     returns (slower responses, compared ones).
@@ -49,7 +52,12 @@
                 guard.compute_upper_rate(*old),
                 PACE_EFFECTS,
             )
-    return guard.is_sufficient(evidence)
+    return evidence
+
+
+def is_slower(pace, steps, sum_counts):
+    """Return whether the evidence suffices to halt a slower version."""
+    return guard.is_sufficient(compute_evidence(pace, steps, sum_counts))
 
 
 class Comparison:
@@ -115,8 +123,19 @@
             for signal in SIGNALS
         )
 
-    def has_enough_trials(self, instance):
-        """Return whether the new version was tried enough to advance."""
+    def may_advance(self, instance):
+        """Return whether the new version was tried enough, not a suspect."""
+        return self._has_enough_trials(instance) and not any(
+            compute_evidence(
+                pace,
+                COMPARED_STEPS,
+                lambda side, signal: self.sum_counts(side, signal, instance),
+            )
+            >= MAX_EVIDENCE_TO_ADVANCE
+            for pace in PACES
+        )
+
+    def _has_enough_trials(self, instance):
         _, trials = self.sum_counts('new', 'error', instance)
         if trials < MIN_TRIALS:
             return False
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -318,3 +318,32 @@
         session[2] = version
     assert moved <= 3
     assert trials >= comparison.MIN_TRIALS
+
+
+def make_compared(slower, compared):
+    """Return a roll-out near its end, with that many slower responses."""
+    clock, rollouts, rollout = make_rollout(15.0)
+    clock.time = 8.0
+    rollouts.apply(canary.Step(7, 's', 1, canary.Phase.RUNNING, 8.0))
+    for number in range(200):
+        rollout.comparison.record('old', 'error', False)
+        rollout.comparison.record('old', 'slower-0', number % 4 == 0)
+    for _ in range(30):
+        rollout.comparison.record('new', 'error', False)
+    for number in range(compared):
+        rollout.comparison.record('new', 'slower-0', number < slower)
+    return rollout
+
+
+# A version that is probably slower, with too few responses to be certain.
+def test_suspect_version_is_not_advanced_and_is_rolled_back_at_the_end():
+    rollout = make_compared(8, 10)
+    assert not rollout.comparison.is_bad('i')
+    assert rollout.decide('i', 12.0, True) is None
+    step = rollout.decide('i', canary.END_BY * 15.0, True)
+    assert step.phase is canary.Phase.ROLLED_BACK
+
+
+def test_version_with_as_many_slower_responses_as_the_old_one_is_advanced():
+    rollout = make_compared(3, 10)
+    assert rollout.decide('i', 12.0, True).number == 2
