--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from arbutuschute.platform import store
-from tests import test_log_cache
+from tests import test_large_records
 
 RECORD = b'\x01k' + b'x' * 5000
 PARTS = 10
@@ -37,7 +37,7 @@
 
 async def measure_read(answer):
     """Read from a store; return (result, seconds)."""
-    async with test_log_cache.serve(answer) as (session, address):
+    async with test_large_records.serve(answer) as (session, address):
         began = asyncio.get_running_loop().time()
         found = await store.Store(session, address).read('t', 0)
         return found, asyncio.get_running_loop().time() - began
