--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -1,4 +1,4 @@
-"""Records that zone peers share, and choice of the reader."""
+"""Records that zone peers share, and choice of the reader; no network."""
 
 import asyncio
 import itertools
