Classify paces in one place; compare times only during roll-outs

Found on the last reading, behaviour unchanged: the loop over the limits of a pace stood in the comparison and in the own interface's roll-outs; that interface took a median for each response, also without a roll-out; events were counted on after a stream's pace was known.

--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -31,6 +31,12 @@
     return f'{pace}-{step}'
 
 
+def classify_pace(ratio, step):
+    """Yield (signal, whether it counts) for a time over the median."""
+    for pace, limit in PACES.items():
+        yield name_signal(pace, step), ratio > limit
+
+
 def list_pace_signals():
     """Return the signals of all paces and steps."""
     return [name_signal(p, step) for p in PACES for step in COMPARED_STEPS]
@@ -79,8 +85,8 @@
 
     def record_pace(self, side, step, ratio):
         """Record a time as a multiple of the old version's median."""
-        for pace, limit in PACES.items():
-            self.record(side, name_signal(pace, step), ratio > limit)
+        for signal, exceeds in classify_pace(ratio, step):
+            self.record(side, signal, exceeds)
 
     def merge(self, evidence):
         """Replace what is known of the instance that wrote ``evidence``."""
--- a/arbutuschute/rollouts.py
+++ b/arbutuschute/rollouts.py
@@ -80,15 +80,18 @@
     ``seconds`` are those per token or event; ``kind`` tells them apart.
     """
     key = version.model, kind
-    ratio = environment.baseline.compute_ratio(key, seconds)
     is_new = False
     for subject, rule, progress in _find_subjects(environment, work, version):
         is_new = is_new or version.version == rule.new
-        if ratio is None or rule.steps[progress.step] >= 1.0:
+        if rule.steps[progress.step] >= 1.0:
             continue
-        for pace, limit in comparison.PACES.items():
-            signal = comparison.name_signal(pace, progress.step)
-            environment.guard.record(subject, signal, ratio > limit)
+        ratio = environment.baseline.compute_ratio(key, seconds)
+        if ratio is None:
+            continue
+        for signal, is_slower in comparison.classify_pace(
+            ratio, progress.step
+        ):
+            environment.guard.record(subject, signal, is_slower)
     if not is_new:
         environment.baseline.add(key, seconds)
 
--- a/arbutuschute/traffic/events.py
+++ b/arbutuschute/traffic/events.py
@@ -69,6 +69,8 @@
         if self._began_at is None:
             self._began_at = now
             return None
+        if self._is_known:
+            return None
         self._events += events.count(EVENT_END)
         self._last_at = now
         return self.finish() if self._events >= MEASURED_EVENTS else None
