Log how far the answer of a failed attempt had come, and its prompt's parts

What callers saw: engines crash one after the other. The log named the requests beside each crash, but not which of them an engine had begun to answer, nor what their prompts share, so a request that crashes engines could not be told from its victims.

Change: 'attempt failed' carries progress (none, head, events) and up to eight shared parts.

--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -2,6 +2,7 @@
 
 from arbutuschute import errors
 from arbutuschute.traffic import events
+from arbutuschute.traffic import request as requests
 from arbutuschute.traffic import sending
 from arbutuschute.traffic import timeouts
 
@@ -97,6 +98,7 @@
         request.record_ran(errors.Ran.UNKNOWN)
         if not head.is_success:
             return await _read_failure(environment, server, stream, attempt)
+        request.progress = requests.Progress.HEAD
         if not stream.is_started:
             _drop_if_unsure(environment, request, server, head)
         await _relay(
@@ -182,6 +184,7 @@
     while whole := await timeouts.wait_for(
         environment, request, server, read_events, limits
     ):
+        request.progress = requests.Progress.EVENTS
         gap_s = gap_meter.add(whole, environment.now())
         _record_gap(environment, request, server, gap_s)
         limits = timeouts.Limits(GAP_TARGETS * request.route.gap_target_s)
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -1,10 +1,20 @@
 """A caller's request and the state of its handling."""
 
+import enum
+
 from arbutuschute import errors
 
 _RAN_ORDER = (errors.Ran.NO, errors.Ran.UNKNOWN, errors.Ran.YES)
 
 
+class Progress(enum.Enum):
+    """How far the answer of the newest attempt had come."""
+
+    NONE = 'none'
+    HEAD = 'head'
+    EVENTS = 'events'
+
+
 class Prompt:
     """A caller's description of a prompt; parts are (name, tokens) pairs."""
 
@@ -23,6 +33,11 @@
             return None
         return self.parts[-2][0]
 
+    @property
+    def shared_names(self):
+        """The names of the parts shared with other requests."""
+        return tuple(name for name, _ in self.parts[:-1])
+
     @property
     def shared_tokens(self):
         """The number of tokens in parts shared with other requests."""
@@ -48,6 +63,7 @@
         'model',
         'organisation',
         'path',
+        'progress',
         'prompt',
         'ran',
         'received_at',
@@ -87,6 +103,7 @@
         # Whether an attempt was sent and its outcome is unknown.
         self.is_attempt_pending = False
         self.ran = errors.Ran.NO
+        self.progress = Progress.NONE
 
     @property
     def known_ran(self):
@@ -99,6 +116,7 @@
         """Count an attempt that is about to be sent."""
         self.attempts += 1
         self.is_attempt_pending = True
+        self.progress = Progress.NONE
 
     def record_ran(self, ran):
         """Record an attempt's ``ran``; YES outranks UNKNOWN, UNKNOWN NO."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -6,6 +6,7 @@
 
 # Another attempt needs at least this much time before the deadline.
 MIN_LEFT_S = 0.03
+MAX_LOGGED_PARTS = 8
 PAUSING_FAILURES = (errors.EngineUnreachable, errors.ServerSilent)
 
 
@@ -118,6 +119,8 @@
         detail=failure.detail,
         ran=failure.ran.value,
         attempt=request.attempts,
+        progress=request.progress.value,
+        parts=request.prompt.shared_names[:MAX_LOGGED_PARTS],
     )
 
 
