--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -119,6 +119,7 @@
         confidence=_decode_number(headers.get(names.CONFIDENCE)),
         load=load,
         slowness=slowness,
+        rate_limit=_decode_number(headers.get(names.RATE_LIMIT)),
     )
     return Attempt(server, response, head)
 
--- a/arbutuschute/platform/names.py
+++ b/arbutuschute/platform/names.py
@@ -11,6 +11,9 @@
 NOT_RUN = 'Arbutuschute-Not-Executed'
 # Running, waiting, slots and slowness of the machine in % (100: normal).
 LOAD = 'Arbutuschute-Server-Load'
+# Requests a second that the server accepts from all instances together, while
+# its responses carry it.
+RATE_LIMIT = 'Server-Limit'
 MODEL = 'Arbutuschute-Model'
 # Prompt tokens and the maximum of output tokens.
 TOKENS = 'Arbutuschute-Token-Count'
--- a/arbutuschute/traffic/answers.py
+++ b/arbutuschute/traffic/answers.py
@@ -10,7 +10,8 @@
 
     ``origin_proof`` is an opaque proof of which server answered;
     ``confidence`` is the model's own, from 0 to 100; ``slowness`` is a
-    factor, 1 for a server of normal speed.
+    factor, 1 for a server of normal speed. ``rate_limit`` is how many
+    requests a second the server accepts from all instances, None for any.
     """
 
     status: int
@@ -19,6 +20,7 @@
     confidence: float | None = None
     load: messages.LoadReport | None = None
     slowness: float = 1.0
+    rate_limit: float | None = None
 
     @property
     def is_success(self):
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -98,8 +98,7 @@
             environment.prefill_rates.observe(
                 request, environment.now() - began
             )
-        if head.load is not None:
-            server.record_load(head.load, head.slowness, environment.now())
+        sending.record_head(environment, server, head)
         request.record_ran(errors.Ran.UNKNOWN)
         if not head.is_success:
             return await _read_failure(environment, server, stream, attempt)
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -125,6 +125,17 @@
     return may_retry(environment, request, failure.ran)
 
 
+def record_head(environment, server, head):
+    """Record what a response's head says of the server."""
+    if head.load is not None:
+        server.record_load(head.load, head.slowness, environment.now())
+    if head.rate_limit != server.rate_limit:
+        server.rate_limit = head.rate_limit
+        environment.log.info(
+            'server limit', server=server.name, per_s=head.rate_limit
+        )
+
+
 def record_failure(environment, request, server, failure):
     """Record a failed attempt for the choice of servers and roll-outs."""
     request.record_ran(failure.ran)
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -80,8 +80,7 @@
 
 def _record_answer(environment, request, server, answer, seconds):
     head = answer.head
-    if head.load is not None:
-        server.record_load(head.load, head.slowness, environment.now())
+    sending.record_head(environment, server, head)
     failed = head.is_failure
     if failed:
         server.record_failure(environment.now(), pauses=False)
