Divide the rate limits of backend servers among the instances

What callers saw: a server that names how many requests a second it accepts got far more, and all requests there became slow.

Cause: nothing read the limit. Had each instance kept it for itself, six instances would have sent six times as much. Class: a limit on the sum of what independent senders do, kept by none of them.

Change: instances report the limits that they hear, and their demand, through the topic of observations, or as messages between peers. Each computes its share from the same reports: in proportion to demand, among the instances of the server's region, so few that a share is a request a second. A change of demand counts for others before it counts for the instance itself. A request waits for its turn at most half of its target, and is refused at once if no server has a turn in time. Where a limit holds, the large model is asked at once, as a dropped answer uses up two requests. The own interface does the same with the header X-Rate-Limit.

Why it works: shares of the same limit add up to it whatever each instance's demand is (property test over instances, demand and delays of reports).

The servers left have to do what limited ones no longer accept.

--- a/arbutuschute/admission_control.py
+++ b/arbutuschute/admission_control.py
@@ -60,7 +60,7 @@
             self.service_times.observe(
                 work.profile.name,
                 work.class_name,
-                self._timer.now() - started_at,
+                self._timer.now() - started_at - work.limit_wait_s,
             )
         finally:
             self.running[name] -= 1
--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import msgspec
 
@@ -104,6 +105,9 @@
                         errors.Ran.UNKNOWN
                     )
                 engine.check_echo(response, work.id, server)
+                environment.limit_reports.record(
+                    server, engine.read_rate_limit(response)
+                )
                 work.progress = progress.Progress.HEAD
                 yield response
         finally:
@@ -150,6 +154,7 @@
                 await self._cancel(server)
                 self._environment.metrics.count('answers.moved')
                 server = migrated.target
+                await self._wait_for_turn(server)
             except errors.Failure as failure:
                 if not work.answer_started:
                     raise
@@ -161,10 +166,25 @@
                     ) from None
                 resumes += 1
                 self._environment.metrics.count('answers.resumed')
+                await self._wait_for_turn(server)
             except (asyncio.CancelledError, ConnectionResetError):
                 await asyncio.shield(self._cancel(server))
                 raise
 
+    async def _wait_for_turn(self, server):
+        """Wait until a server may get the rest of a stream.
+
+        A limit that is left to other instances is no reason to break it off.
+        """
+        environment = self._environment
+        wait_s = pools.reserve_turn(environment, server, self._version)
+        if math.isinf(wait_s):
+            return
+        if wait_s >= self._compute_left_s():
+            raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
+        self._work.limit_wait_s += wait_s
+        await environment.timer.sleep(wait_s)
+
     async def _cancel(self, server):
         await engine.cancel(self._environment.http, server, self._work.id)
 
--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -8,6 +8,7 @@
 from arbutuschute.ledgers import bills
 from arbutuschute import load_polling
 from arbutuschute import messages
+from arbutuschute.policy import rate_limits
 from arbutuschute import rollouts
 from arbutuschute import streams
 
@@ -119,7 +120,7 @@
         elif isinstance(message, messages.AnnounceHalt):
             environment.halts.add((message.rollout, message.revision))
         elif isinstance(message, messages.ShareObservation):
-            environment.crash_reports.apply(message.observation)
+            self._apply_observation(message.observation)
         elif isinstance(message, PIN_MESSAGES):
             environment.pins.handle_message(message)
         else:
@@ -181,10 +182,19 @@
         ):
             peers.reconnect(sender)
 
+    def _apply_observation(self, observation):
+        if isinstance(observation, rate_limits.LimitReport):
+            self._environment.limit_reports.apply(observation)
+        else:
+            self._environment.crash_reports.apply(observation)
+
     def _repeat_observations(self, peer):
-        """Send a peer what it has missed of crashes."""
-        for observation in self._environment.crash_reports.list_published():
+        """Send a peer what it has missed of backend servers."""
+        environment = self._environment
+        for observation in environment.crash_reports.list_published():
             self._send_observation(peer, observation)
+        if environment.limit_reports.last_report is not None:
+            self._send_observation(peer, environment.limit_reports.last_report)
 
     def _send_observation(self, peer, observation):
         sender, incarnation = self._environment.identity
@@ -196,7 +206,7 @@
         )
 
     def share_observation(self, observation):
-        """Send every peer an observation of a crash."""
+        """Send every peer an observation of a backend server."""
         for name in self._environment.membership.members:
             self._send_observation(name, observation)
 
--- a/arbutuschute/core.py
+++ b/arbutuschute/core.py
@@ -20,6 +20,7 @@
     agreement.check_may_run(environment, work)
     _refuse_quarantined(environment, work)
     pool = await pools.find_pool(environment, work)
+    environment.demand.record(pool[0])
     async with environment.admission.enter(work, pool):
         if work.profile.idempotent:
             await _run_and_bill(environment, work, reply)
@@ -132,10 +133,7 @@
     last = None
     environment.retry_budget.deposit()
     while True:
-        agreement.check_may_run(environment, work)
-        _refuse_quarantined(environment, work)
-        version = await agreement.choose_version(environment, work)
-        server = _choose_server(environment, work, version, tried, last)
+        version, server = await _find_server(environment, work, tried, last)
         attempt_count += 1
         try:
             await attempts.run(environment, work, version, server, reply, bill)
@@ -179,11 +177,35 @@
         raise failure.mark_ran(work.ran) from None
 
 
+async def _find_server(environment, work, tried, last):
+    """Return (version, server) of the next attempt.
+
+    Wait for a turn if all open servers are at their rate limits. Version
+    and lease are checked again after that.
+    """
+    while True:
+        agreement.check_may_run(environment, work)
+        _refuse_quarantined(environment, work)
+        version = await agreement.choose_version(environment, work)
+        server = _choose_server(environment, work, version, tried, last)
+        wait_s = pools.reserve_turn(environment, server, version)
+        if wait_s <= 0.0:
+            return version, server
+        work.limit_wait_s += wait_s
+        await environment.timer.sleep(wait_s)
+        agreement.check_may_run(environment, work)
+        _refuse_quarantined(environment, work)
+        chosen = await agreement.choose_version(environment, work)
+        if server.is_open(environment.timer.now()) and chosen == version:
+            return version, server
+
+
 def _choose_server(environment, work, version, tried, last):
     """Return a server, preferring those not in ``tried``.
 
     If no server is open, raises the ``last`` failure, or
-    ``NoBackendServer`` if there is none.
+    ``NoBackendServer`` if there is none; ``RateLimited`` if all are at their
+    rate limits and no turn comes before the deadline.
     """
     servers = pools.find_servers(environment, work, version)
     chosen = None
@@ -192,14 +214,46 @@
         chosen = pools.choose_open(environment, untried, version)
     if chosen is None:
         chosen = pools.choose_open(environment, servers, version)
+    if chosen is None:
+        chosen = _choose_next_turn(environment, work, version, servers)
     if chosen is None:
         if last is not None:
             raise last.mark_ran(work.ran)
-        wanted = ':'.join(version.pair) if version else work.profile.service
-        raise errors.NoBackendServer(wanted).mark_ran(work.ran)
+        raise errors.NoBackendServer(_name_wanted(work, version)).mark_ran(
+            work.ran
+        )
     return chosen
 
 
+def _choose_next_turn(environment, work, version, servers):
+    """Return the open server whose rate limit allows a request soonest.
+
+    None if no server is open. Raises ``RateLimited`` if the turn would come
+    too late to be answered by the deadline.
+    """
+    now = environment.timer.now()
+    expected_s = environment.admission.service_times.estimate(
+        work.profile.name, work.class_name
+    )
+    waits = {
+        server: pools.get_limit_wait_s(environment, server, version)
+        for server in servers
+        if server.is_open(now)
+    }
+    if not waits:
+        return None
+    soonest = min(waits, key=waits.__getitem__)
+    if now + waits[soonest] + expected_s >= work.deadline_at:
+        raise errors.RateLimited(_name_wanted(work, version)).mark_ran(
+            work.ran
+        )
+    return soonest
+
+
+def _name_wanted(work, version):
+    return ':'.join(version.pair) if version else work.profile.service
+
+
 def _apply_failure(environment, server, failure):
     """Pause the server or mark it as leaving, according to the failure."""
     now = environment.timer.now()
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -31,6 +31,7 @@
 from arbutuschute import logs
 from arbutuschute.machines import crashes
 from arbutuschute.machines import fleet
+from arbutuschute.machines import limits
 from arbutuschute import metrics
 from arbutuschute import orders
 from arbutuschute.policy import baseline
@@ -38,6 +39,7 @@
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
 from arbutuschute.policy import quarantine
+from arbutuschute.policy import rate_limits
 from arbutuschute.policy import retry
 from arbutuschute import streams
 from arbutuschute import timer
@@ -77,7 +79,7 @@
     environment.admission = admission_control.AdmissionController(
         environment.timer,
         environment.metrics,
-        lambda: _count_live_routers(environment),
+        lambda: 1 + environment.membership.count_live(settings.region),
     )
     environment.retry_budget = retry.Budget()
     environment.paces = pace.Paces()
@@ -85,9 +87,6 @@
     environment.guard = guard.Guard()
     environment.baseline = baseline.Baseline(environment.timer.now)
     environment.halts = set()
-    environment.quarantine = quarantine.Quarantine(
-        environment.timer.now, environment.timer.wall
-    )
     environment.learners = learners.Learners()
     environment.rating_client = rating.RatingClient(
         environment.http,
@@ -111,14 +110,6 @@
     )
 
 
-def _count_live_routers(environment):
-    """Return the number of routers that share the pools of this region."""
-    return 1 + sum(
-        member.region == environment.settings.region and member.state == 'live'
-        for member in environment.membership.members.values()
-    )
-
-
 def _build_links(environment):
     settings = environment.settings
     environment.http = aiohttp.ClientSession(
@@ -193,6 +184,24 @@
     )
 
 
+def _build_observations(environment, share):
+    """Build what is known of backend servers, told to others by ``share``."""
+    now = environment.timer.now
+    environment.quarantine = quarantine.Quarantine(now, environment.timer.wall)
+    environment.crash_reports = crashes.CrashReports(
+        environment.quarantine, environment.timer, environment.random,
+        environment.log, environment.metrics, share,
+    )  # fmt: skip
+    environment.demand = rate_limits.Demand(now)
+    environment.rate_limits = rate_limits.RateLimits(
+        now, environment.name, environment.settings.region
+    )
+    environment.limit_reports = limits.LimitReports(
+        environment.rate_limits, environment.timer, environment.log,
+        environment.metrics, environment.demand.get_rates, share,
+    )  # fmt: skip
+
+
 class Router:
     """One router process from start to stop."""
 
@@ -215,11 +224,7 @@
             self.environment, self._leases
         )
         self._control = control.Control(self.environment, self._history)
-        made = self.environment
-        made.crash_reports = crashes.CrashReports(
-            made.quarantine, made.timer, made.random, made.log, made.metrics,
-            self._control.share_observation,
-        )  # fmt: skip
+        _build_observations(self.environment, self._control.share_observation)
         self._runners = []
         self._tasks = []
         self._stopping = asyncio.Event()
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -150,6 +150,11 @@
     'StoreDown', 'store-down', 'The platform log does not answer', 503,
     'purpose', retry_after_s=2,
 )  # fmt: skip
+RateLimited = define(
+    'RateLimited', 'rate-limited',
+    'Backend servers accept no more requests at the moment', 503, 'wanted',
+    retry_after_s=1,
+)  # fmt: skip
 Stopping = define(
     'Stopping', 'stopping', 'This instance is shutting down', 503,
     'instance', retry_after_s=1,
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -14,6 +14,7 @@
 from arbutuschute.ledgers import freshness
 from arbutuschute import logs
 from arbutuschute.machines import crashes
+from arbutuschute.machines import limits
 from arbutuschute.machines import servers
 from arbutuschute import metrics
 from arbutuschute.platform import engine
@@ -28,6 +29,7 @@
 from arbutuschute.policy import model_choice
 from arbutuschute.policy import prefill
 from arbutuschute.policy import quarantine
+from arbutuschute.policy import rate_limits
 from arbutuschute.policy import retry_budget
 from arbutuschute import timer as timer_module
 from arbutuschute.traffic import environment as environment_module
@@ -98,6 +100,10 @@
         environment.model_selector = model_choice.ModelSelector()
         environment.prefill_rates = prefill.PrefillRates()
         environment.quarantine = quarantine.Quarantine(now, self._timer.wall)
+        environment.demand = rate_limits.Demand(now)
+        environment.rate_limits = rate_limits.RateLimits(
+            now, settings.name, settings.region
+        )
         environment.open_attempt = engine.make_opener(self._sessions[0])
         return environment
 
@@ -132,12 +138,23 @@
         environment = self.environment
         self.observations = observations.ObservationTask(
             client, self._timer, self._log, self._settings.name,
-            lambda found: environment.crash_reports.apply(found), self.reader,
+            self._apply_observation, self.reader,
         )  # fmt: skip
         environment.crash_reports = crashes.CrashReports(
             environment.quarantine, self._timer, environment.random,
             self._log, environment.metrics, self.observations.publish,
         )  # fmt: skip
+        environment.limit_reports = limits.LimitReports(
+            environment.rate_limits, self._timer, self._log,
+            environment.metrics, environment.demand.get_rates,
+            self.observations.publish,
+        )  # fmt: skip
+
+    def _apply_observation(self, observation):
+        if isinstance(observation, rate_limits.LimitReport):
+            self.environment.limit_reports.apply(observation)
+        else:
+            self.environment.crash_reports.apply(observation)
 
     def _apply_table(self, table):
         known = self.environment.table
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import aiohttp
 import msgspec
@@ -13,6 +14,8 @@
 STALL_TIMEOUT_S = 15.0
 CANCEL_TIMEOUT_S = 1.0
 DRAIN_TIMEOUT_S = 0.5
+# A server that accepts no requests is asked again after this many seconds.
+MIN_RATE_PER_S = 1 / 60
 MAX_REFUSAL_BYTES = 64 * 1024
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = b'\n\n'
@@ -89,6 +92,17 @@
     return failure.mark_ran(errors.Ran.NO if known else errors.Ran.UNKNOWN)
 
 
+def read_rate_limit(response):
+    """Return the requests a second that a server accepts, None for any."""
+    try:
+        per_s = float(response.headers.get('X-Rate-Limit', ''))
+    except ValueError:
+        return None
+    if not math.isfinite(per_s):
+        return None
+    return max(per_s, MIN_RATE_PER_S)
+
+
 def check_echo(response, work_id, server):
     """Raise ``AnswerCrossed`` unless the response has our request's id."""
     if response.headers.get('X-Request-Id') != work_id:
--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -40,7 +40,6 @@
         'failures_in_row',
         'last_heard_at',
         'queue_delays',
-        'rate_limit',
         'slowness',
     )
 
@@ -51,8 +50,6 @@
         self.failures_in_row = 0
         self.last_heard_at = float('-inf')
         self.slowness = 1.0
-        # Requests a second that it accepts from all instances, or None.
-        self.rate_limit = None
         self.queue_delays = prefill.QueueDelays()
 
     @property
--- a/arbutuschute/messages.py
+++ b/arbutuschute/messages.py
@@ -7,6 +7,15 @@
 import msgspec
 
 from arbutuschute.policy import quarantine
+from arbutuschute.policy import rate_limits
+
+# What instances tell each other of servers.
+Observation = (
+    quarantine.Crash
+    | quarantine.Answered
+    | quarantine.Verdict
+    | rate_limits.LimitReport
+)
 
 
 class Message(
@@ -134,9 +143,9 @@
 
 
 class ShareObservation(Message, frozen=True, tag='so'):
-    """What the sender saw of crashes; safe to repeat."""
+    """What the sender saw of backend servers; safe to repeat."""
 
-    observation: quarantine.Crash | quarantine.Answered | quarantine.Verdict
+    observation: Observation
 
 
 AnyMessage = (
--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -10,9 +10,11 @@
 import msgspec
 from returns import result
 
+from arbutuschute import messages
 from arbutuschute.platform import followers
 from arbutuschute.platform import readers
 from arbutuschute.policy import quarantine
+from arbutuschute.policy import rate_limits
 
 TOPIC = 'keyed.observations'
 # The store answers a read as soon as there is a record. Each read is a priced
@@ -20,15 +22,14 @@
 WAIT_S = 1.8
 PEER_WAIT_S = 0.9
 # Collects records that are written at the same moment into one read.
-BATCH_S = 0.1
+BATCH_S = 0.3
 KEYS_PER_KIND = 8
 MAX_KEY_BYTES = 200
 MAX_QUEUED = 64
 MIN_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 2.0
 
-Observation = quarantine.Crash | quarantine.Answered | quarantine.Verdict
-_decoder = msgspec.json.Decoder(Observation)
+_decoder = msgspec.json.Decoder(messages.Observation)
 
 
 class ObservationTask:
@@ -110,7 +111,12 @@
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
     def _make_key(self, observation):
-        """Return a key: verdicts last, others take turns."""
+        """Return a key: the newest report replaces the instance's last one.
+
+        Verdicts have their own, others take turns.
+        """
+        if isinstance(observation, rate_limits.LimitReport):
+            return f'limits/{self._name}'
         if isinstance(observation, quarantine.Verdict):
             return f'verdict/{"/".join(observation.parts)}'[:MAX_KEY_BYTES]
         kind = type(observation).__name__.lower()
--- a/arbutuschute/policy/model_choice.py
+++ b/arbutuschute/policy/model_choice.py
@@ -6,6 +6,8 @@
 threshold: a better answer is worth little when it is late.
 """
 
+import math
+
 # Confidence from which a small model's answer is kept on idle engines. At low
 # load, 30 gave bad answers to hard requests, and 70 saturated the engines.
 MIN_CONFIDENCE_IDLE = 58.0
@@ -39,14 +41,26 @@
             return None
         return request.route.models[0]
 
+    def select_limited(self, request):
+        """Return the model to request from a server with a rate limit.
+
+        A dropped answer would use up two of the few requests.
+        """
+        if request.model is None:
+            return None
+        return request.route.models[-1]
+
     def select_larger(self, request, confidence, start_s):
         """Return the model to query instead, or None to keep the answer.
 
-        ``start_s`` is when it would begin, in seconds from the arrival.
+        ``start_s`` is when it would begin, in seconds from the arrival;
+        infinite if no server may get it.
         """
         models = request.route.models
         if request.model is None or request.model == models[-1]:
             return None
+        if math.isinf(start_s):
+            return None
         threshold = compute_threshold(start_s / request.route.target_s)
         if confidence is None or confidence >= threshold:
             return None
--- a/arbutuschute/policy/placement.py
+++ b/arbutuschute/policy/placement.py
@@ -55,20 +55,23 @@
     )
 
 
-def choose_engine(servers, request, prefill_rates, location, random, now):
+def choose_engine(waits, request, prefill_rates, location, random, now):
     """Return the engine expected to begin a request soonest, or None.
 
+    ``waits`` maps each engine to the seconds until it may get a request.
     Requests that share a part of their prompt go to one engine of the
     region, which has read that part, unless another begins much sooner.
     """
-    if not servers:
+    if not waits:
         return None
-    affinity_engine = find_affinity_engine(servers, request, location)
+    affinity_engine = find_affinity_engine(waits, request, location)
     costs = {}
-    for server in servers:
-        cost_s = server.queue_delays.estimate_wait_s(
-            now
-        ) + HOP_S * get_hop_cost(server, location)
+    for server, wait_s in waits.items():
+        cost_s = (
+            wait_s
+            + server.queue_delays.estimate_wait_s(now)
+            + HOP_S * get_hop_cost(server, location)
+        )
         reading_s = (
             prefill_rates.estimate_read_s(request, server is affinity_engine)
             * server.slowness
@@ -78,7 +81,7 @@
         cost_s += reading_s + FAILURE_S * server.failure_rate
         cost_s += BUSY_S * choice.estimate_load(server)
         costs[server] = cost_s + NOISE_S * random.random()
-    return min(servers, key=costs.__getitem__)
+    return min(costs, key=costs.__getitem__)
 
 
 def find_affinity_engine(servers, request, location):
--- /dev/null
+++ b/arbutuschute/policy/rate_limits.py
@@ -0,0 +1,283 @@
+"""Division of a server's rate limit among the instances that send to it.
+
+A server in need states how many requests a second it accepts from all
+instances together. Instances tell each other of such limits and of their
+demand. Each computes its own share from the same reports, so that the shares
+add up to the limit.
+"""
+
+import collections
+
+import msgspec
+
+from arbutuschute.zones import rendezvous
+
+# With a smaller share an instance would let callers wait for seconds. Then
+# fewer instances share the limit, and the others use other servers.
+MIN_SHARE_PER_S = 1.0
+# Requests of a share that were not sent may be sent later, at most this many
+# seconds of it.
+BURST_S = 1.0
+# Demand of an instance that has had no requests lately.
+MIN_DEMAND_PER_S = 0.1
+# All instances have received a report by then. Until then the larger of an
+# instance's old and new demand counts for others, and the smaller for itself,
+# so that the shares don't add up to more than the limit.
+SETTLE_S = 1.0
+# An instance that has not renewed its report is gone.
+REPORT_LIFETIME_S = 12.0
+# A statement of a server that hasn't been heard since is dropped.
+STATEMENT_LIFETIME_S = 60.0
+# Others have been told of the end of a limit by then.
+END_LIFETIME_S = 10.0
+# Shares are computed again after this time.
+SHARES_LIFETIME_S = 0.5
+# The rate of requests is that of one to two of these.
+DEMAND_PERIOD_S = 4.0
+NO_LIMIT = 0.0
+
+
+class LimitReport(msgspec.Struct, frozen=True, tag='limits'):
+    """What one instance has heard of limits, and its demand.
+
+    ``demand`` is in requests a second by pool. ``limits`` maps a server's
+    incarnation to (requests a second or ``NO_LIMIT``, age of the statement in
+    seconds).
+    """
+
+    instance: str
+    region: str
+    demand: dict[str, float] = {}
+    limits: dict[str, tuple[float, float]] = {}
+
+
+class _Reported:
+    """The demand in an instance's newest report and in the one before."""
+
+    __slots__ = ('at', 'before', 'report')
+
+    def __init__(self, report, at, known):
+        self.report = report
+        self.at = at
+        self.before = known.report.demand if known is not None else {}
+
+    def list_demand(self, pool, now):
+        """Return the new demand, and the old one until all know the new."""
+        new = self.report.demand.get(pool, 0.0)
+        if now - self.at < SETTLE_S:
+            return new, self.before.get(pool, 0.0)
+        return new, new
+
+
+class Demand:
+    """Counts requests by pool, for their rate over the last seconds."""
+
+    __slots__ = ('_began_at', '_counts', '_last_counts', '_now')
+
+    def __init__(self, now):
+        self._now = now
+        self._began_at = now()
+        self._counts = collections.Counter()
+        self._last_counts = collections.Counter()
+
+    def record(self, pool):
+        """Count a request."""
+        self._roll()
+        self._counts[pool] += 1
+
+    def get_rates(self):
+        """Return the requests a second of each pool that has any."""
+        self._roll()
+        seconds = DEMAND_PERIOD_S + self._now() - self._began_at
+        total = self._last_counts + self._counts
+        return {
+            pool: round(count / seconds, 2) for pool, count in total.items()
+        }
+
+    def _roll(self):
+        passed_s = self._now() - self._began_at
+        if passed_s < DEMAND_PERIOD_S:
+            return
+        is_recent = passed_s < 2 * DEMAND_PERIOD_S
+        self._last_counts = (
+            self._counts if is_recent else collections.Counter()
+        )
+        self._counts = collections.Counter()
+        self._began_at += DEMAND_PERIOD_S * int(passed_s / DEMAND_PERIOD_S)
+
+
+class RateLimits:
+    """The limits of servers, and when this instance may send to each.
+
+    Servers are named by their incarnation; a pool is what servers are chosen
+    from, such as a service.
+    """
+
+    __slots__ = ('_buckets', '_computed_at', '_limits', '_name', '_now',
+                 '_own', '_region', '_reports', '_shares',
+                 '_statements')  # fmt: skip
+
+    def __init__(self, now, name, region):
+        self._now = now
+        self._name = name
+        self._region = region
+        # This instance's last report.
+        self._own = None
+        # This instance's statements: server to (limit, time of hearing it).
+        self._statements = {}
+        # Other instances' reports, with the time of receiving them.
+        self._reports = {}
+        # Requests that may be sent to each server, and when that was so.
+        self._buckets = {}
+        # The limits and own shares, computed from the above.
+        self._computed_at = float('-inf')
+        self._limits = {}
+        self._shares = {}
+
+    def record(self, server, per_s):
+        """Record the limit in a response, or None for no limit.
+
+        Return whether no instance has told it before.
+        """
+        known = self._find_limits().get(server)
+        if per_s is None and known is None:
+            return False
+        self._statements[server] = per_s or NO_LIMIT, self._now()
+        if known == per_s:
+            return False
+        self._computed_at = float('-inf')
+        return True
+
+    def apply(self, report):
+        """Apply another instance's report; return if it changes limits."""
+        if report.instance == self._name:
+            return False
+        before = dict(self._find_limits())
+        known = self._reports.get(report.instance)
+        self._reports[report.instance] = _Reported(report, self._now(), known)
+        self._computed_at = float('-inf')
+        return before != self._find_limits()
+
+    def make_report(self, demand):
+        """Return the report of this instance; None if it has none to make."""
+        now = self._now()
+        self._forget_old()
+        limits = {
+            server: (per_s, round(now - at, 3))
+            for server, (per_s, at) in self._statements.items()
+        }
+        if not limits and not self._find_limits():
+            self._own = None
+            return None
+        report = LimitReport(self._name, self._region, demand, limits)
+        self._own = _Reported(report, now, self._own)
+        self._computed_at = float('-inf')
+        return report
+
+    def make_empty_report(self):
+        """Return the report of an instance that knows of no limits."""
+        return LimitReport(self._name, self._region)
+
+    def list_limits(self):
+        """Return the requests a second of each server that has a limit."""
+        return dict(self._find_limits())
+
+    def has_limit(self, server):
+        """Return whether a server accepts few requests at the moment."""
+        return server in self._find_limits()
+
+    def get_wait_s(self, server, pool, region):
+        """Return the seconds until the next request may be sent to a server.
+
+        Infinite if other instances share the server's limit.
+        """
+        if server not in self._find_limits():
+            return 0.0
+        share = self._get_share(server, pool, region)
+        if share <= 0.0:
+            return float('inf')
+        return max(0.0, 1.0 - self._refill(server, share)) / share
+
+    def reserve(self, server, pool, region):
+        """Count a request that is sent after ``get_wait_s``."""
+        if server not in self._find_limits():
+            return
+        share = self._get_share(server, pool, region)
+        if share <= 0.0:
+            return
+        tokens = self._refill(server, share)
+        self._buckets[server] = tokens - 1.0, self._now()
+
+    def _refill(self, server, share):
+        """Return how many requests may be sent; below 0 if turns are taken."""
+        now = self._now()
+        tokens, at = self._buckets.get(server, (1.0, now))
+        tokens = min(tokens + share * (now - at), 1.0 + share * BURST_S)
+        self._buckets[server] = tokens, now
+        return tokens
+
+    def _find_limits(self):
+        """Return the newest statement on each server that has a limit."""
+        now = self._now()
+        if now - self._computed_at < SHARES_LIFETIME_S:
+            return self._limits
+        self._forget_old()
+        newest = dict(self._statements)
+        for reported in self._reports.values():
+            for server, (per_s, age_s) in reported.report.limits.items():
+                at = reported.at - age_s
+                if server not in newest or at > newest[server][1]:
+                    newest[server] = per_s, at
+        self._computed_at = now
+        self._shares.clear()
+        self._limits = {
+            server: per_s
+            for server, (per_s, _) in newest.items()
+            if per_s > NO_LIMIT
+        }
+        for server in self._buckets.keys() - self._limits.keys():
+            del self._buckets[server]
+        return self._limits
+
+    def _forget_old(self):
+        now = self._now()
+        for name, reported in list(self._reports.items()):
+            if now - reported.at > REPORT_LIFETIME_S:
+                del self._reports[name]
+        for server, (per_s, at) in list(self._statements.items()):
+            lifetime_s = STATEMENT_LIFETIME_S if per_s else END_LIFETIME_S
+            if now - at > lifetime_s:
+                del self._statements[server]
+
+    def _get_share(self, server, pool, region):
+        if server not in self._shares:
+            self._shares[server] = self._compute_share(server, pool, region)
+        return self._shares[server]
+
+    def _compute_share(self, server, pool, region):
+        """Return this instance's part of a limit, in requests a second.
+
+        Instances of the server's region share it, if there are any.
+        """
+        limit = self._limits[server]
+        demand = self._list_demand(pool, region) or self._list_demand(pool)
+        count = max(1, int(limit / MIN_SHARE_PER_S))
+        names = demand
+        if len(demand) > count:
+            names = rendezvous.rank(server, demand)[:count]
+        if self._name not in names:
+            return 0.0
+        return limit * demand[self._name] / sum(demand[n] for n in names)
+
+    def _list_demand(self, pool, region=None):
+        """Return the demand on a pool by instance, of one region or all."""
+        now = self._now()
+        found = {}
+        if region in (None, self._region):
+            own = min(self._own.list_demand(pool, now)) if self._own else 0.0
+            found[self._name] = max(own, MIN_DEMAND_PER_S)
+        for name, reported in self._reports.items():
+            demand = max(reported.list_demand(pool, now))
+            if demand and region in (None, reported.report.region):
+                found[name] = max(demand, MIN_DEMAND_PER_S)
+        return found
--- a/arbutuschute/standin/engine.py
+++ b/arbutuschute/standin/engine.py
@@ -174,6 +174,12 @@
         await asyncio.sleep(self.first_token_s)
         os._exit(1)
 
+    def _make_headers(self, request_id):
+        headers = {'X-Request-Id': request_id}
+        if self.injector.active.rate_limit:
+            headers['X-Rate-Limit'] = str(self.injector.active.rate_limit)
+        return headers
+
     def _start_run(self, request_id, model):
         run = self.runs.get(request_id)
         if run is None:
@@ -197,14 +203,14 @@
                 'usage': count_usage(body, tokens),
                 'confidence': compute_confidence(run.request),
             },
-            headers={'X-Request-Id': request_id},
+            headers=self._make_headers(request_id),
         )
 
     async def _stream(self, request, body, request_id, run, start):
         response = web.StreamResponse(
             headers={
                 'Content-Type': 'text/event-stream',
-                'X-Request-Id': request_id,
+                **self._make_headers(request_id),
             }
         )
         await response.prepare(request)
--- a/arbutuschute/standin/faults.py
+++ b/arbutuschute/standin/faults.py
@@ -12,6 +12,7 @@
     Times are in seconds, ``cut`` holds the names of instances that get no
     answer, and each use of a counted fault decrements its counter. An engine
     ends as soon as it begins to answer a message that holds ``crash_on``.
+    Its answers state ``rate_limit`` in requests a second, unless it is 0.
     """
 
     outage: bool = False
@@ -30,6 +31,7 @@
     hang: int = 0
     error: int = 0
     crash_on: str = ''
+    rate_limit: float = 0.0
     quality: float = -1.0
 
 
--- a/arbutuschute/traffic/environment.py
+++ b/arbutuschute/traffic/environment.py
@@ -13,9 +13,11 @@
 
     __slots__ = (
         'crash_reports',
+        'demand',
         'directory',
         'freshness',
         'in_flight',
+        'limit_reports',
         'location',
         'log',
         'metrics',
@@ -26,6 +28,7 @@
         'prefill_rates',
         'quarantine',
         'random',
+        'rate_limits',
         'retry_budget',
         'rollouts',
         'state',
--- a/arbutuschute/traffic/handler.py
+++ b/arbutuschute/traffic/handler.py
@@ -17,6 +17,7 @@
     """Serve a request; raise the ``Failure`` that ends it."""
     admit(environment, request)
     environment.retry_budget.record_request(request.service)
+    environment.demand.record(request.service)
     environment.in_flight += 1
     left_s = request.deadline_at - RESPONSE_MARGIN_S - environment.now()
     try:
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -37,7 +37,9 @@
     request.model = environment.model_selector.select_first(request)
     tried = set()
     while True:
-        server = sending.choose_server(environment, request, tried)
+        server = await sending.choose_server(environment, request, tried)
+        if environment.rate_limits.has_limit(server.incarnation):
+            request.model = environment.model_selector.select_limited(request)
         tried.add(server.name)
         request.begin_attempt(environment.now())
         try:
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -1,5 +1,7 @@
 """Choice of a server for an attempt, and rules for retries."""
 
+import asyncio
+
 from arbutuschute import errors
 from arbutuschute import logs
 from arbutuschute.policy import placement
@@ -7,16 +9,33 @@
 # Another attempt needs at least this much time before the deadline.
 MIN_LEFT_S = 0.03
 MAX_LOGGED_PARTS = 8
+# How long a request may wait for its turn at a server with a rate limit, as a
+# multiple of the route's target.
+MAX_LIMIT_WAIT_TARGETS = 0.5
 PAUSING_FAILURES = (errors.EngineUnreachable, errors.ServerSilent)
 
 
-def choose_server(environment, request, tried):
-    """Return the server for the next attempt, or raise ``NoBackendServer``.
+async def choose_server(environment, request, tried):
+    """Return the server for the next attempt, once it may get the request.
 
     ``tried`` holds the names of servers tried before. Raise
-    ``PromptQuarantined`` if no server may get the request.
+    ``NoBackendServer`` if there is none, ``RateLimited`` if the wait would be
+    too long, ``PromptQuarantined`` if no server may get the request.
     """
-    refuse_quarantined(environment, request)
+    while True:
+        refuse_quarantined(environment, request)
+        server, wait_s = _reserve_turn(environment, request, tried)
+        if wait_s <= 0.0:
+            return server
+        await asyncio.sleep(wait_s)
+        # It may have begun to leave meanwhile.
+        if not server.leaving:
+            refuse_quarantined(environment, request)
+            return server
+
+
+def _reserve_turn(environment, request, tried):
+    """Return (server, seconds until it may get the request)."""
     listed = environment.directory.find(request.service)
     now = environment.now()
     live = [server for server in listed if not server.leaving]
@@ -28,9 +47,9 @@
     )
     usable = [server for server in fresh if server.is_open(now)]
     # If all servers are paused, a paused one is better than none.
-    chosen = _choose_among(environment, request, usable or fresh)
-    if chosen is None:
-        raise errors.NoBackendServer(request.service).mark_ran(request.ran)
+    waits = _find_waits(environment, request, usable or fresh)
+    chosen = _choose_among(environment, request, waits)
+    _reserve(environment, chosen)
     environment.log.info(
         'server chosen',
         request=request.id,
@@ -42,10 +61,47 @@
         load=round(chosen.load.others + chosen.in_flight, 1),
         load_age_ms=logs.round_to_ms(now - chosen.load.at),
         foreseen_ms=int(1000 * chosen.queue_delays.estimate_wait_s(now)),
+        limit_wait_ms=int(1000 * waits[chosen]),
         listed=len(listed),
         usable=len(usable),
     )
-    return chosen
+    return chosen, waits[chosen]
+
+
+def _get_limit_wait_s(environment, server):
+    """Return the seconds until a request may be sent to a server.
+
+    Infinite if the server's limit is left to other instances.
+    """
+    return environment.rate_limits.get_wait_s(
+        server.incarnation,
+        server.entry.service,
+        _get_region(environment, server),
+    )
+
+
+def _reserve(environment, server):
+    environment.rate_limits.reserve(
+        server.incarnation,
+        server.entry.service,
+        _get_region(environment, server),
+    )
+
+
+def _get_region(environment, server):
+    _, _, regions = environment.location
+    return regions.get(server.entry.zone)
+
+
+def _compute_longest_wait_s(environment, request):
+    """Return how long a request may wait for its turn at a limited server.
+
+    A stream that has begun would break off otherwise.
+    """
+    left_s = request.deadline_at - environment.now()
+    if request.first_event_s is not None:
+        return left_s
+    return min(left_s, MAX_LIMIT_WAIT_TARGETS * request.route.target_s)
 
 
 def refuse_quarantined(environment, request):
@@ -57,13 +113,34 @@
         )
 
 
-def _choose_among(environment, request, servers):
+def _find_waits(environment, request, servers):
+    """Return the seconds until each server may get the request.
+
+    Without those at which it would wait too long for its turn.
+    """
+    if not servers:
+        raise errors.NoBackendServer(request.service).mark_ran(request.ran)
+    longest_s = _compute_longest_wait_s(environment, request)
+    waits = {}
+    for server in servers:
+        wait_s = _get_limit_wait_s(environment, server)
+        if wait_s <= longest_s:
+            waits[server] = wait_s
+    if not waits:
+        raise errors.RateLimited(request.service).mark_ran(request.ran)
+    return waits
+
+
+def _choose_among(environment, request, waits):
     if not request.route.is_stream:
+        shortest_s = min(waits.values())
         return placement.choose(
-            servers, environment.location, environment.random
+            [s for s, wait_s in waits.items() if wait_s <= shortest_s],
+            environment.location,
+            environment.random,
         )
     return placement.choose_engine(
-        servers,
+        waits,
         request,
         environment.prefill_rates,
         environment.location,
@@ -73,17 +150,29 @@
 
 
 def estimate_large_start_s(environment, request):
-    """Return the seconds from arrival until a large model would start."""
+    """Return the seconds from arrival until a large model would start.
+
+    Infinite if the servers' rate limits leave no turn in time.
+    """
     now = environment.now()
-    waits = [
-        server.queue_delays.estimate_wait_s(now)
+    usable = [
+        server
         for server in environment.directory.find(request.service)
         if server.is_open(now)
     ]
+    try:
+        waits = [
+            wait_s + server.queue_delays.estimate_wait_s(now)
+            for server, wait_s in _find_waits(
+                environment, request, usable
+            ).items()
+        ]
+    except (errors.NoBackendServer, errors.RateLimited):
+        return float('inf')
     model, request.model = request.model, request.route.models[-1]
     expected_s = environment.prefill_rates.estimate_read_s(request)
     request.model = model
-    return now - request.received_at + min(waits, default=0.0) + expected_s
+    return now - request.received_at + min(waits) + expected_s
 
 
 def may_retry(environment, request, ran):
@@ -129,11 +218,8 @@
     """Record what a response's head says of the server."""
     if head.load is not None:
         server.record_load(head.load, head.slowness, environment.now())
-    if head.rate_limit != server.rate_limit:
-        server.rate_limit = head.rate_limit
-        environment.log.info(
-            'server limit', server=server.name, per_s=head.rate_limit
-        )
+    if head.is_success or head.rate_limit is not None:
+        environment.limit_reports.record(server, head.rate_limit)
 
 
 def record_failure(environment, request, server, failure):
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -22,8 +22,8 @@
     fallback = None
     while True:
         try:
-            server = sending.choose_server(environment, request, tried)
-        except errors.NoBackendServer:
+            server = await sending.choose_server(environment, request, tried)
+        except (errors.NoBackendServer, errors.RateLimited):
             if fallback is None:
                 raise
             break
--- a/arbutuschute/work.py
+++ b/arbutuschute/work.py
@@ -28,6 +28,7 @@
         'id',
         'is_rated',
         'key',
+        'limit_wait_s',
         'method',
         'model',
         'organisation',
@@ -61,6 +62,8 @@
         self.fingerprint = ''
         self.is_rated = False
         self.key = None
+        # Time spent waiting for turns at servers with rate limits.
+        self.limit_wait_s = 0.0
         self.method = 'POST'
         self.model = None
         self.path = ''
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -221,6 +221,13 @@
             )
         ]
 
+    def count_live(self, region):
+        """Return the number of live members in a region, without ourselves."""
+        return sum(
+            member.region == region and member.state == 'live'
+            for member in self.members.values()
+        )
+
     def is_unheard(self, name):
         """Return whether a member was never heard from, or is marked dead."""
         member = self.members.get(name)
--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,257 @@
+"""Rate limits of servers, divided among instances; without a network."""
+
+import bisect
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from arbutuschute.policy import rate_limits
+
+# What a server may get in some seconds although it named a limit.
+WINDOW_S = 4.0
+MOST_FACTOR = 1.5
+MOST_EXTRA = 5.0
+STEP_S = 0.1
+
+
+class Clock:
+    def __init__(self):
+        self.seconds = 100.0
+
+    def now(self):
+        return self.seconds
+
+
+class Fleet:
+    """Instances that hear a server's limit and tell each other late."""
+
+    def __init__(self, names, delay_s=0.0, region='r'):
+        self.clock = Clock()
+        self.delay_s = delay_s
+        self.region = region
+        self.instances = {}
+        self.demands = {}
+        self.on_the_way = []
+        self.sent = []
+        self.reported_at = {}
+        self.last_reports = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        now = self.clock.now
+        self.instances[name] = rate_limits.RateLimits(now, name, self.region)
+        self.demands[name] = rate_limits.Demand(now)
+        self.reported_at[name] = 0.0
+        for report in self.last_reports.values():
+            self.instances[name].apply(report)
+
+    def report(self, name):
+        made = self.instances[name].make_report(self.demands[name].get_rates())
+        self.reported_at[name] = self.clock.seconds
+        if made is not None:
+            self.last_reports[name] = made
+            self.on_the_way.append((self.clock.seconds + self.delay_s, made))
+
+    def deliver(self):
+        now = self.clock.seconds
+        due = [report for at, report in self.on_the_way if at <= now]
+        self.on_the_way = [e for e in self.on_the_way if e[0] > now]
+        for report in due:
+            for name, found in self.instances.items():
+                if found.apply(report):
+                    self.report(name)
+
+    def offer(self, name, limit):
+        """Send one request if it is the instance's turn."""
+        found = self.instances[name]
+        self.demands[name].record('pool')
+        if found.get_wait_s('s', 'pool', self.region) > 0.0:
+            return
+        found.reserve('s', 'pool', self.region)
+        self.sent.append((self.clock.seconds, name))
+        if found.record('s', limit):
+            self.report(name)
+
+    def run(self, seconds, limit, per_s, generator):
+        """Offer ``per_s`` requests a second to each instance."""
+        for _ in range(int(seconds / STEP_S)):
+            self.clock.seconds += STEP_S
+            self.deliver()
+            for name in list(self.instances):
+                if generator.random() < per_s * STEP_S:
+                    self.offer(name, limit)
+                if self.clock.seconds - self.reported_at[name] > 4.0:
+                    self.report(name)
+
+    def count_most(self, since):
+        """Return the most requests in a window that begins at ``since``."""
+        times = [at for at, _ in self.sent if at >= since]
+        return max(
+            bisect.bisect_left(times, start + WINDOW_S) - number
+            for number, start in enumerate(times)
+        )
+
+
+def make(name='a'):
+    clock = Clock()
+    return rate_limits.RateLimits(clock.now, name, 'r'), clock
+
+
+# Guards against sending a server more than the limit that it names, summed
+# over all instances, whatever their number and demand.
+@hypothesis.settings(max_examples=30, deadline=None)
+@hypothesis.given(
+    strategies.integers(1, 24),
+    strategies.floats(0.4, 30.0),
+    strategies.floats(0.1, 20.0),
+    strategies.floats(0.0, 0.6),
+    strategies.integers(0, 1000),
+)
+def test_all_instances_together_keep_a_limit(
+    count, limit, per_s, delay_s, seed
+):
+    fleet = Fleet([f'i{number}' for number in range(count)], delay_s)
+    began = fleet.clock.seconds
+    fleet.run(14.0, limit, per_s, random.Random(seed))
+    most = MOST_FACTOR * WINDOW_S * limit + MOST_EXTRA
+    if any(at >= began + WINDOW_S for at, _ in fleet.sent):
+        assert fleet.count_most(began + WINDOW_S) <= most
+
+
+def test_limit_is_used_where_there_is_demand():
+    fleet = Fleet([f'i{number}' for number in range(6)])
+    fleet.run(24.0, 6.0, 10.0, random.Random(1))
+    used = sum(at > 104.0 for at, _ in fleet.sent) / 20.0
+    assert 0.9 * 6.0 <= used <= 1.1 * 6.0
+
+
+def test_limit_goes_to_those_with_demand():
+    fleet = Fleet(['busy', 'idle'])
+    for _ in range(100):
+        fleet.clock.seconds += 0.05
+        fleet.offer('busy', 4.0)
+    fleet.offer('idle', 4.0)
+    for name in fleet.instances:
+        fleet.report(name)
+    fleet.deliver()
+    fleet.run(10.0, 4.0, 0.0, random.Random(1))
+    fleet.sent.clear()
+    for _ in range(200):
+        fleet.clock.seconds += 0.05
+        fleet.offer('busy', 4.0)
+    assert len(fleet.sent) > 0.8 * 4.0 * 10.0
+
+
+def test_instance_that_starts_takes_part():
+    fleet = Fleet([f'i{number}' for number in range(4)])
+    generator = random.Random(1)
+    fleet.run(10.0, 8.0, 10.0, generator)
+    fleet.start('new')
+    began = fleet.clock.seconds
+    fleet.run(12.0, 8.0, 10.0, generator)
+    assert fleet.count_most(began) <= MOST_FACTOR * WINDOW_S * 8.0 + MOST_EXTRA
+    new = sum(name == 'new' for at, name in fleet.sent if at > began + 6.0)
+    assert new >= 4
+
+
+def test_share_of_a_lost_instance_is_used_by_others():
+    fleet = Fleet([f'i{number}' for number in range(2)])
+    generator = random.Random(1)
+    fleet.run(10.0, 4.0, 10.0, generator)
+    del fleet.instances['i0']
+    fleet.run(rate_limits.REPORT_LIFETIME_S + 1.0, 4.0, 10.0, generator)
+    fleet.sent.clear()
+    fleet.run(10.0, 4.0, 10.0, generator)
+    assert len(fleet.sent) > 0.9 * 4.0 * 10.0
+
+
+def test_small_limit_is_left_to_a_few_instances():
+    fleet = Fleet([f'i{number}' for number in range(30)])
+    fleet.run(10.0, 2.0, 5.0, random.Random(1))
+    senders = {name for at, name in fleet.sent if at > 104.0}
+    assert 1 <= len(senders) <= 2
+
+
+def test_instances_of_the_servers_region_share_its_limit():
+    clock = Clock()
+    near = rate_limits.RateLimits(clock.now, 'near', 'r')
+    far = rate_limits.RateLimits(clock.now, 'far', 'elsewhere')
+    near.record('s', 5.0)
+    far.apply(near.make_report({'pool': 1.0}))
+    near.apply(far.make_report({'pool': 1.0}))
+    assert far.get_wait_s('s', 'pool', 'r') == float('inf')
+    assert near.get_wait_s('s', 'pool', 'r') == 0.0
+
+
+def test_instance_alone_may_use_a_server_of_another_region():
+    found, _ = make()
+    found.record('s', 5.0)
+    assert found.get_wait_s('s', 'pool', 'another') == 0.0
+
+
+def test_turns_are_spaced_by_the_limit():
+    found, clock = make()
+    found.record('s', 2.0)
+    waits = []
+    for _ in range(4):
+        waits.append(found.get_wait_s('s', 'pool', 'r'))
+        found.reserve('s', 'pool', 'r')
+    assert waits == pytest.approx([0.0, 0.5, 1.0, 1.5])
+    clock.seconds += 2.0
+    assert found.get_wait_s('s', 'pool', 'r') == 0.0
+
+
+def test_server_without_a_limit_is_never_waited_for():
+    found, _ = make()
+    found.record('s', None)
+    for _ in range(9):
+        assert found.get_wait_s('s', 'pool', 'r') == 0.0
+        found.reserve('s', 'pool', 'r')
+    assert found.make_report({}) is None
+
+
+def test_end_of_a_limit_reaches_the_others():
+    fleet = Fleet(['a', 'b'])
+    fleet.run(8.0, 1.0, 5.0, random.Random(1))
+    fleet.instances['a'].record('s', None)
+    fleet.report('a')
+    fleet.deliver()
+    assert fleet.instances['b'].get_wait_s('s', 'pool', 'r') == 0.0
+    assert fleet.instances['a'].get_wait_s('s', 'pool', 'r') == 0.0
+
+
+def test_newest_statement_counts():
+    clock = Clock()
+    first = rate_limits.RateLimits(clock.now, 'a', 'r')
+    second = rate_limits.RateLimits(clock.now, 'b', 'r')
+    first.record('s', 5.0)
+    report = first.make_report({'pool': 1.0})
+    clock.seconds += 1.0
+    second.apply(report)
+    second.record('s', None)
+    clock.seconds += 1.0
+    second.apply(first.make_report({'pool': 1.0}))
+    assert second.get_wait_s('s', 'pool', 'r') == 0.0
+
+
+def test_state_of_gone_servers_is_dropped():
+    found, clock = make()
+    for number in range(100):
+        found.record(f's{number}', 5.0)
+        found.reserve(f's{number}', 'pool', 'r')
+    clock.seconds += rate_limits.STATEMENT_LIFETIME_S + 1.0
+    assert found.make_report({}) is None
+
+
+def test_demand_is_the_rate_of_the_last_seconds():
+    clock = Clock()
+    demand = rate_limits.Demand(clock.now)
+    for _ in range(100):
+        clock.seconds += 0.1
+        demand.record('pool')
+    assert demand.get_rates()['pool'] == pytest.approx(10.0, rel=0.15)
+    clock.seconds += 20.0
+    assert demand.get_rates() == {}
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -188,9 +188,9 @@
 # Placement: long prompts occupy single engines.
 
 
-def choose(servers_, request, prefill_rates=None, now=0.0):
+def choose(servers_, request, prefill_rates=None, now=0.0, waits=None):
     return placement.choose_engine(
-        servers_,
+        {server: (waits or {}).get(server, 0.0) for server in servers_},
         request,
         prefill_rates or prefill.PrefillRates(),
         LOCATION,
@@ -199,6 +199,14 @@
     )
 
 
+def test_request_waits_for_a_limited_engine_only_if_it_begins_sooner():
+    limited, other = make_server('x'), make_server('y')
+    request = make_request('q', shared='p1')
+    assert choose([limited, other], request, waits={limited: 1.0}) is other
+    other.queue_delays.begin(make_request('long', shared='p2'), 3.0, 0.0)
+    assert choose([limited, other], request, waits={limited: 0.1}) is limited
+
+
 def test_request_avoids_an_engine_with_a_long_prompt_queued():
     first, second = make_server('x'), make_server('y')
     long = make_request('long', shared='p1')
