Check the request's id of a refusal before it is believed

What callers saw: on other systems, "not run, try again" for requests that an engine had run, after a faulty engine wrote an earlier refusal once more on a kept connection; such a request then ran at a second engine.

Cause: responses were checked for the request's id, but a refusal was believed before that check. Class: a promise is taken from a message whose subject isn't checked. The own interface keeps connections, so it happened there: the refusal of r-1, sent once more, was taken for that of r-2, with ran "no". On the platform no connection is used twice; a refusal with another id on a new connection was believed, too.

Change: both links check the id first. On the own interface a refusal has to state it, and the stand-ins do; one without it says nothing (ran "unknown"). On the platform it may be left out, as some refusals have none.

--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -52,7 +52,9 @@
     """Send a request; yield the response, or raise a typed failure.
 
     The failure's ``ran`` is ``no`` only if the server refused the request
-    itself or no connection could be made.
+    itself or no connection could be made. A refusal has to state the
+    request's id: one of an earlier request may be sent once more on a
+    connection that was kept.
     """
     timeout = aiohttp.ClientTimeout(
         sock_connect=min(CONNECT_TIMEOUT_S, deadline_s),
@@ -75,6 +77,7 @@
         ) from None
     try:
         if response.status in REFUSING_STATUSES:
+            check_echo(response, headers['X-Request-Id'], server)
             raise await _read_refusal(response, server, deadline_s)
         yield response
     finally:
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -108,10 +108,13 @@
 def _check_head(server, request, response):
     """Return the ``Attempt``; raise unless the response is the request's."""
     headers = response.headers
-    if names.NOT_RUN in headers or response.status == 421:
-        raise errors.EngineRefused(server.name, str(response.status))
-    if headers.get(names.REQUEST_ID) != request.id:
+    is_refusal = names.NOT_RUN in headers or response.status == 421
+    # A refusal may lack the id, as no connection is used twice.
+    echo = headers.get(names.REQUEST_ID, request.id if is_refusal else None)
+    if echo != request.id:
         raise errors.AnswerCrossed(server.name).mark_ran(errors.Ran.UNKNOWN)
+    if is_refusal:
+        raise errors.EngineRefused(server.name, str(response.status))
     if names.ORIGIN_PROOF not in headers and response.status < 300:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
     load, slowness = _decode_load(server.name, headers.get(names.LOAD))
--- a/arbutuschute/standin/engine.py
+++ b/arbutuschute/standin/engine.py
@@ -127,8 +127,12 @@
         )
         return app
 
-    def _refuse(self, reason):
-        return web.json_response({'reason': reason, 'ran': 'no'}, status=503)
+    def _refuse(self, request_id, reason):
+        return web.json_response(
+            {'reason': reason, 'ran': 'no'},
+            status=503,
+            headers=self._make_headers(request_id),
+        )
 
     async def handle_chat(self, request):
         """Run one request; respond with a whole answer or a stream."""
@@ -137,11 +141,11 @@
         resume_from = int(request.headers.get('X-Resume-From', '0'))
         if self.leaving and not resume_from:
             self.refused_leaving += 1
-            return self._refuse('leaving')
+            return self._refuse(request_id, 'leaving')
         if self.injector.active.refuse:
-            return self._refuse('overloaded')
+            return self._refuse(request_id, 'overloaded')
         if body['model'] not in self.versions:
-            return self._refuse('model not loaded')
+            return self._refuse(request_id, 'model not loaded')
         if self.injector.consume('error'):
             return web.json_response({'reason': 'failed'}, status=500)
         if self.injector.consume('hang'):
--- a/arbutuschute/standin/service.py
+++ b/arbutuschute/standin/service.py
@@ -33,14 +33,17 @@
 
     async def handle_make(self, request):
         """Create one booking or label per call, also for a repeated call."""
+        headers = {'X-Request-Id': request.headers.get('X-Request-Id', '')}
         if self.injector.active.refuse:
-            return web.json_response({'ran': 'no'}, status=503)
+            return web.json_response(
+                {'ran': 'no'}, status=503, headers=headers
+            )
         body = await request.read()
         number = len(self.made) + 1
         self.made.append(
             {
                 'number': number,
-                'request': request.headers.get('X-Request-Id', ''),
+                'request': headers['X-Request-Id'],
                 'body': body.decode(),
             }
         )
@@ -51,8 +54,7 @@
         if self.injector.consume('hang'):
             await faults.hang_forever()
         return web.json_response(
-            {'service': self.name, 'number': number},
-            headers={'X-Request-Id': request.headers.get('X-Request-Id', '')},
+            {'service': self.name, 'number': number}, headers=headers
         )
 
     async def handle_made(self, request):
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -14,6 +14,7 @@
 from arbutuschute.platform import settings
 from arbutuschute.standin import cluster
 from tests.platform import standin
+from tests import scripted
 
 HOST = '127.0.0.1'
 SETTINGS = """\
@@ -210,3 +211,25 @@
         yield made
     finally:
         await made.stop()
+
+
+@pytest_asyncio.fixture(name='serve')
+async def start_server(world):
+    """Start an instance; return a function that adds a scripted server."""
+    await world.start(())
+    directory = world.instance.environment.directory
+    servers = []
+
+    async def add(name, answer, **entry):
+        server = scripted.ScriptedServer(answer, name)
+        await server.__aenter__()
+        servers.append(server)
+        world.list_engine(server, **entry)
+        await wait_for(
+            lambda: name in {s.name for s in directory.find('plain')}
+        )
+        return server
+
+    yield add
+    for server in servers:
+        await server.__aexit__()
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -18,6 +18,7 @@
 from tests import endless
 
 WATCH_S = 10 * endless.DEADLINE_S
+HEADERS = {'X-Request-Id': 'r'}
 
 
 @pytest_asyncio.fixture(name='server')
@@ -44,7 +45,7 @@
     async with (
         aiohttp.ClientSession() as session,
         engine.open_attempt(
-            session, backend, '/x', {}, b'', endless.DEADLINE_S
+            session, backend, '/x', HEADERS, b'', endless.DEADLINE_S
         ) as response,
     ):
         yield response, backend
--- /dev/null
+++ b/tests/test_faulty_engines.py
@@ -0,0 +1,153 @@
+"""The own link against engines that send wrong or incomplete responses."""
+
+import aiohttp
+import pytest
+
+from arbutuschute import errors
+from arbutuschute.links import engine
+from arbutuschute.machines import fleet
+from arbutuschute.machines import instances
+from tests import scripted
+
+DEADLINE_S = 2.0
+REFUSAL = b'{"reason": "overloaded", "ran": "no"}'
+ANSWER = b'{"id": "%s", "usage": {}}'
+STREAM = (
+    b'data: {"id":"%s"}\n\ndata: {"id":"%s","usage":{}}\n\ndata: [DONE]\n\n'
+)
+
+
+def make_response(request_id, status=b'200 OK', body=b'', is_chunked=False):
+    head = b'HTTP/1.1 %s\r\nX-Request-Id: %s\r\n' % (status, request_id)
+    if is_chunked:
+        return head + (
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        )
+    return head + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+
+
+def make_backend(server):
+    instance = instances.Instance(
+        name='e', kind='engine', address=f'http://{server.address}',
+        zone='a', region='r',
+    )  # fmt: skip
+    return fleet.BackendServer(instance)
+
+
+async def send(session, server, request_id):
+    """Send a request over the own link; return its whole body."""
+    backend = make_backend(server)
+    async with engine.open_attempt(
+        session,
+        backend,
+        '/v1/chat/completions',
+        {'X-Request-Id': request_id},
+        b'{}',
+        DEADLINE_S,
+    ) as response:
+        engine.check_echo(response, request_id, backend)
+        body, _ = await engine.read_whole(
+            response, request_id, backend, DEADLINE_S
+        )
+        return body
+
+
+async def read_events(session, server, request_id):
+    backend = make_backend(server)
+    async with engine.open_attempt(
+        session,
+        backend,
+        '/v1/chat/completions',
+        {'X-Request-Id': request_id},
+        b'{}',
+        DEADLINE_S,
+    ) as response:
+        engine.check_echo(response, request_id, backend)
+        reader = engine.EventReader(response, backend, DEADLINE_S)
+        while await reader.read():
+            pass
+        return reader.read_usage(request_id)
+
+
+async def call_service(session, server, request_id):
+    """Return the body of a plain service's response, which isn't parsed."""
+    backend = make_backend(server)
+    async with engine.open_attempt(
+        session,
+        backend,
+        '/book',
+        {'X-Request-Id': request_id},
+        b'{}',
+        DEADLINE_S,
+    ) as response:
+        return await engine.read_body(response, backend, DEADLINE_S)
+
+
+async def find_failure(send_request, server, request_id='r-1'):
+    async with aiohttp.ClientSession() as session:
+        with pytest.raises(errors.Failure) as caught:
+            await send_request(session, server, request_id)
+    return caught.value
+
+
+# Guards against taking an earlier request's refusal, sent once more on a kept
+# connection, for that of a request that the engine has run.
+@pytest.mark.parametrize('is_late', [False, True])
+@pytest.mark.parametrize('status', [b'503 Busy', b'429 Busy'])
+async def test_refusal_of_another_request_says_nothing(status, is_late):
+    refusal = make_response(b'r-1', status, REFUSAL)
+    sent = [refusal if is_late else 2 * refusal, refusal]
+
+    async with (
+        scripted.ScriptedServer(
+            lambda number, request_id: (sent[number], scripted.KEEP)
+        ) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        with pytest.raises(errors.EngineRefused) as refused:
+            await send(session, server, 'r-1')
+        assert refused.value.ran is errors.Ran.NO
+        with pytest.raises(errors.Failure) as crossed:
+            await send(session, server, 'r-2')
+    assert crossed.value.ran is errors.Ran.UNKNOWN
+
+
+async def test_refusal_without_a_request_id_says_nothing():
+    def answer(number, request_id):
+        refusal = make_response(request_id, b'503 Busy', REFUSAL)
+        return refusal.replace(b'X-Request-Id', b'X-Other'), scripted.KEEP
+
+    async with scripted.ScriptedServer(answer) as server:
+        failure = await find_failure(send, server)
+    assert failure.ran is errors.Ran.UNKNOWN
+
+
+# Guards against an empty or short answer, framed as whole, when an engine
+# ends in the middle of its response.
+@pytest.mark.parametrize('is_chunked', [False, True])
+@pytest.mark.parametrize('end', [scripted.CLOSE, scripted.RESET])
+@pytest.mark.parametrize(
+    'send_request, body',
+    [
+        (send, ANSWER % b'r-1'),
+        (call_service, b'booked'),
+        (read_events, STREAM % (b'r-1', b'r-1')),
+    ],
+)
+async def test_incomplete_response_is_a_failure(
+    send_request, body, end, is_chunked
+):
+    whole = make_response(b'r-1', body=body, is_chunked=is_chunked)
+    needed = len(whole)
+    if send_request is read_events:
+        needed = whole.index(engine.STREAM_END) + len(engine.STREAM_END)
+    parts = [whole[:size] for size in range(1, needed)]
+    left = list(parts)
+
+    async with scripted.ScriptedServer(
+        lambda number, request_id: (left.pop(0), end)
+    ) as server:
+        for part in parts:
+            failure = await find_failure(send_request, server)
+            assert failure.ran is errors.Ran.UNKNOWN, part
