Count instances without demand when a rate limit is divided

What callers saw: nothing yet; found by reading. When all instances are idle, or have restarted, and requests then come to all of them, a server with a limit gets it once from each instance.

Cause: an instance that reported no demand was left out of the division by all others, while it counted itself. Class: two views of one set of participants.

Change: each instance that reports takes part, with a demand of 0.1 a second at least, in its own view and in that of the others.

Tests: test_limit_is_kept_when_all_were_idle failed before. In test_limit_goes_to_those_with_demand both instances were idle for 10 s before the part that is checked, and nothing was reported in it: the check passed since the idle one was left out. Now they report as they do in fact, under the same bound.

--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -18,7 +18,8 @@
 # Requests of a share that were not sent may be sent later, at most this many
 # seconds of it.
 BURST_S = 1.0
-# Demand of an instance that has had no requests lately.
+# Demand of an instance that has had no requests lately, as it may get some at
+# any moment.
 MIN_DEMAND_PER_S = 0.1
 # All instances have received a report by then. Until then the larger of an
 # instance's old and new demand counts for others, and the smaller for itself,
@@ -277,7 +278,7 @@
             own = min(self._own.list_demand(pool, now)) if self._own else 0.0
             found[self._name] = max(own, MIN_DEMAND_PER_S)
         for name, reported in self._reports.items():
-            demand = max(reported.list_demand(pool, now))
-            if demand and region in (None, reported.report.region):
+            if region in (None, reported.report.region):
+                demand = max(reported.list_demand(pool, now))
                 found[name] = max(demand, MIN_DEMAND_PER_S)
         return found
