Build and apply observations of servers in one place for both interfaces

What callers saw: nothing; a reading of the change found crashes and limits wired twice and limits parsed twice.

Change: machines/observations.py builds what is known of servers and applies what others tell; policy/rate_limits.py parses a limit. On the own interface a failed response without a limit no longer ends it, as on the platform.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -105,9 +105,9 @@
                         errors.Ran.UNKNOWN
                     )
                 engine.check_echo(response, work.id, server)
-                environment.limit_reports.record(
-                    server, engine.read_rate_limit(response)
-                )
+                per_s = engine.read_rate_limit(response)
+                if response.ok or per_s is not None:
+                    environment.limit_reports.record(server, per_s)
                 work.progress = progress.Progress.HEAD
                 yield response
         finally:
--- a/arbutuschute/control.py
+++ b/arbutuschute/control.py
@@ -7,8 +7,8 @@
 from arbutuschute import instance_list
 from arbutuschute.ledgers import bills
 from arbutuschute import load_polling
+from arbutuschute.machines import observations
 from arbutuschute import messages
-from arbutuschute.policy import rate_limits
 from arbutuschute import rollouts
 from arbutuschute import streams
 
@@ -120,7 +120,7 @@
         elif isinstance(message, messages.AnnounceHalt):
             environment.halts.add((message.rollout, message.revision))
         elif isinstance(message, messages.ShareObservation):
-            self._apply_observation(message.observation)
+            observations.apply(environment, message.observation)
         elif isinstance(message, PIN_MESSAGES):
             environment.pins.handle_message(message)
         else:
@@ -182,12 +182,6 @@
         ):
             peers.reconnect(sender)
 
-    def _apply_observation(self, observation):
-        if isinstance(observation, rate_limits.LimitReport):
-            self._environment.limit_reports.apply(observation)
-        else:
-            self._environment.crash_reports.apply(observation)
-
     def _repeat_observations(self, peer):
         """Send a peer what it has missed of backend servers."""
         environment = self._environment
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -30,17 +30,14 @@
 from arbutuschute.links import peer
 from arbutuschute.links import rating
 from arbutuschute import logs
-from arbutuschute.machines import crashes
 from arbutuschute.machines import fleet
-from arbutuschute.machines import limits
+from arbutuschute.machines import observations
 from arbutuschute import metrics
 from arbutuschute import orders
 from arbutuschute.policy import baseline
 from arbutuschute.policy import guard
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
-from arbutuschute.policy import quarantine
-from arbutuschute.policy import rate_limits
 from arbutuschute.policy import retry
 from arbutuschute import streams
 from arbutuschute import timer
@@ -185,24 +182,6 @@
     )
 
 
-def _build_observations(environment, share):
-    """Build what is known of backend servers, told to others by ``share``."""
-    now = environment.timer.now
-    environment.quarantine = quarantine.Quarantine(now, environment.timer.wall)
-    environment.crash_reports = crashes.CrashReports(
-        environment.quarantine, environment.timer, environment.random,
-        environment.log, environment.metrics, share,
-    )  # fmt: skip
-    environment.demand = rate_limits.Demand(now)
-    environment.rate_limits = rate_limits.RateLimits(
-        now, environment.name, environment.settings.region
-    )
-    environment.limit_reports = limits.LimitReports(
-        environment.rate_limits, environment.timer, environment.log,
-        environment.metrics, environment.demand.get_rates, share,
-    )  # fmt: skip
-
-
 class Router:
     """One router process from start to stop."""
 
@@ -225,7 +204,10 @@
             self.environment, self._leases
         )
         self._control = control.Control(self.environment, self._history)
-        _build_observations(self.environment, self._control.share_observation)
+        observations.build(
+            self.environment, self.environment.timer, settings.region,
+            self._control.share_observation,
+        )  # fmt: skip
         self._runners = []
         self._tasks = []
         self._stopping = asyncio.Event()
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -13,14 +13,13 @@
 
 from arbutuschute.ledgers import freshness
 from arbutuschute import logs
-from arbutuschute.machines import crashes
-from arbutuschute.machines import limits
+from arbutuschute.machines import observations
 from arbutuschute.machines import servers
 from arbutuschute import metrics
 from arbutuschute.platform import engine
 from arbutuschute.platform import followers
 from arbutuschute.platform import ingress
-from arbutuschute.platform import observations
+from arbutuschute.platform import observations as observation_topic
 from arbutuschute.platform import readers
 from arbutuschute.platform import rollouts
 from arbutuschute.platform import settings as settings_module
@@ -28,8 +27,6 @@
 from arbutuschute.policy import canary
 from arbutuschute.policy import model_choice
 from arbutuschute.policy import prefill
-from arbutuschute.policy import quarantine
-from arbutuschute.policy import rate_limits
 from arbutuschute.policy import retry_budget
 from arbutuschute import timer as timer_module
 from arbutuschute.traffic import environment as environment_module
@@ -99,11 +96,6 @@
         environment.rollouts = canary.Rollouts(now, settings.bounds.session_s)
         environment.model_selector = model_choice.ModelSelector()
         environment.prefill_rates = prefill.PrefillRates()
-        environment.quarantine = quarantine.Quarantine(now, self._timer.wall)
-        environment.demand = rate_limits.Demand(now)
-        environment.rate_limits = rate_limits.RateLimits(
-            now, settings.name, settings.region
-        )
         environment.open_attempt = engine.make_opener(self._sessions[0])
         return environment
 
@@ -128,34 +120,19 @@
             settings.bounds.drain_s,
             self.reader,
         )
-        self._build_observations(client)
+        self.observations = observation_topic.ObservationTask(
+            client, self._timer, self._log, settings.name,
+            lambda found: observations.apply(environment, found), self.reader,
+        )  # fmt: skip
+        observations.build(
+            environment, self._timer, settings.region,
+            self.observations.publish,
+        )  # fmt: skip
         self.rollout_task = rollouts.RolloutTask(
             client, self._timer, self._log, environment.random, identity,
             environment.rollouts, environment.directory, self.reader,
         )  # fmt: skip
 
-    def _build_observations(self, client):
-        environment = self.environment
-        self.observations = observations.ObservationTask(
-            client, self._timer, self._log, self._settings.name,
-            self._apply_observation, self.reader,
-        )  # fmt: skip
-        environment.crash_reports = crashes.CrashReports(
-            environment.quarantine, self._timer, environment.random,
-            self._log, environment.metrics, self.observations.publish,
-        )  # fmt: skip
-        environment.limit_reports = limits.LimitReports(
-            environment.rate_limits, self._timer, self._log,
-            environment.metrics, environment.demand.get_rates,
-            self.observations.publish,
-        )  # fmt: skip
-
-    def _apply_observation(self, observation):
-        if isinstance(observation, rate_limits.LimitReport):
-            self.environment.limit_reports.apply(observation)
-        else:
-            self.environment.crash_reports.apply(observation)
-
     def _apply_table(self, table):
         known = self.environment.table
         if known is not None and table.version < known.version:
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 
 import aiohttp
 import msgspec
@@ -10,13 +9,12 @@
 from arbutuschute import bodies
 from arbutuschute import connections
 from arbutuschute import errors
+from arbutuschute.policy import rate_limits
 
 CONNECT_TIMEOUT_S = 1.0
 STALL_TIMEOUT_S = 15.0
 CANCEL_TIMEOUT_S = 1.0
 DRAIN_TIMEOUT_S = 0.5
-# A server that accepts no requests is asked again after this many seconds.
-MIN_RATE_PER_S = 1 / 60
 MAX_REFUSAL_BYTES = 64 * 1024
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = b'\n\n'
@@ -98,13 +96,7 @@
 
 def read_rate_limit(response):
     """Return the requests a second that a server accepts, None for any."""
-    try:
-        per_s = float(response.headers.get('X-Rate-Limit', ''))
-    except ValueError:
-        return None
-    if not math.isfinite(per_s):
-        return None
-    return max(per_s, MIN_RATE_PER_S)
+    return rate_limits.parse(response.headers.get('X-Rate-Limit'))
 
 
 def check_echo(response, work_id, server):
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -1,7 +1,6 @@
 """Link to backend servers: one attempt owns one connection."""
 
 import contextlib
-import math
 
 import aiohttp
 import yarl
@@ -11,13 +10,12 @@
 from arbutuschute import errors
 from arbutuschute import messages
 from arbutuschute.platform import names
+from arbutuschute.policy import rate_limits
 from arbutuschute.traffic import answers
 
 # A connection takes 1 to 2 ms within a region and 25 ms to another one; an
 # unresponsive machine never accepts it.
 CONNECT_TIMEOUT_S = 0.4
-# A server that accepts no requests is asked again after this many seconds.
-MIN_RATE_PER_S = 1 / 60
 MAX_HEADER_BYTES = 32 * 1024
 SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -110,7 +108,7 @@
         confidence=_decode_number(headers.get(names.CONFIDENCE)),
         load=load,
         slowness=slowness,
-        rate_limit=_decode_rate(headers.get(names.RATE_LIMIT)),
+        rate_limit=rate_limits.parse(headers.get(names.RATE_LIMIT)),
     )
     return Attempt(server, response, head)
 
@@ -149,14 +147,6 @@
         return None
 
 
-def _decode_rate(text):
-    """Return requests a second, None without a usable number."""
-    per_s = _decode_number(text)
-    if per_s is None or not math.isfinite(per_s):
-        return None
-    return max(per_s, MIN_RATE_PER_S)
-
-
 class Attempt:
     """A response that has begun; ``read`` returns its bytes as they come."""
 
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 
 import msgspec
 
@@ -36,6 +37,22 @@
 # The rate of requests is that of one to two of these.
 DEMAND_PERIOD_S = 4.0
 NO_LIMIT = 0.0
+# A server that accepts no requests is asked again after this many seconds.
+MIN_LIMIT_PER_S = 1 / 60
+
+
+def parse(text):
+    """Return the limit in a header, in requests a second.
+
+    None if there is no header or no usable number in it.
+    """
+    try:
+        per_s = float(text or '')
+    except ValueError:
+        return None
+    if not math.isfinite(per_s):
+        return None
+    return max(per_s, MIN_LIMIT_PER_S)
 
 
 class LimitReport(msgspec.Struct, frozen=True, tag='limits'):
--- a/tests/test_faulty_engines.py
+++ b/tests/test_faulty_engines.py
@@ -1,5 +1,7 @@
 """The own link against engines that send wrong or incomplete responses."""
 
+import contextlib
+
 import aiohttp
 import pytest
 
@@ -38,8 +40,9 @@
     return fleet.BackendServer(instance)
 
 
-async def send(session, server, request_id):
-    """Send a request over the own link; return its whole body."""
+@contextlib.asynccontextmanager
+async def open_attempt(session, server, request_id):
+    """Send a request over the own link; yield (response, backend server)."""
     backend = make_backend(server)
     async with engine.open_attempt(
         session,
@@ -50,6 +53,15 @@
         DEADLINE_S,
     ) as response:
         engine.check_echo(response, request_id, backend)
+        yield response, backend
+
+
+async def send(session, server, request_id):
+    """Return the body of a chat's whole response."""
+    async with open_attempt(session, server, request_id) as (
+        response,
+        backend,
+    ):
         body, _ = await engine.read_whole(
             response, request_id, backend, DEADLINE_S
         )
@@ -57,16 +69,11 @@
 
 
 async def read_events(session, server, request_id):
-    backend = make_backend(server)
-    async with engine.open_attempt(
-        session,
+    """Return the usage at the end of a chat's stream."""
+    async with open_attempt(session, server, request_id) as (
+        response,
         backend,
-        '/v1/chat/completions',
-        {'X-Request-Id': request_id},
-        b'{}',
-        DEADLINE_S,
-    ) as response:
-        engine.check_echo(response, request_id, backend)
+    ):
         reader = engine.EventReader(response, backend, DEADLINE_S)
         while await reader.read():
             pass
@@ -75,15 +82,10 @@
 
 async def call_service(session, server, request_id):
     """Return the body of a plain service's response, which isn't parsed."""
-    backend = make_backend(server)
-    async with engine.open_attempt(
-        session,
+    async with open_attempt(session, server, request_id) as (
+        response,
         backend,
-        '/book',
-        {'X-Request-Id': request_id},
-        b'{}',
-        DEADLINE_S,
-    ) as response:
+    ):
         return await engine.read_body(response, backend, DEADLINE_S)
 
 
