--- a/tests/outer/wire.py
+++ b/tests/outer/wire.py
@@ -23,6 +23,7 @@
 from arbutuschute.platform import readers
 from arbutuschute.policy import canary
 from arbutuschute.policy import quarantine
+from arbutuschute.policy import rate_limits
 from arbutuschute.zones import log_cache
 
 SENDER = {'sender': 'mtl-a-1', 'incarnation': 7}
@@ -62,6 +63,9 @@
 CRASH = quarantine.Crash('e-1 12', 12.5, 11.5, ('p1', 'p2'), True)
 ANSWERED = quarantine.Answered(('p1',))
 VERDICT = quarantine.Verdict(('p2',), 99.5)
+LIMITS = rate_limits.LimitReport(
+    'mtl-a-1', 'qc-sud', {'m:1': 2.5}, {'e-1 12': (4.5, 0.25)}
+)
 
 
 def make_configuration():
@@ -197,7 +201,7 @@
                 f'keyed.observations {_get_tag(o)}', o, encode,
                 observations._decoder.decode,
             )
-            for o in (CRASH, ANSWERED, VERDICT)
+            for o in (CRASH, ANSWERED, VERDICT, LIMITS)
         ),
         ('keyed.rollouts evidence', evidence, canary.encode, canary.decode),
         (
