Resume a stream with its model at a server with a rate limit

What callers saw: nothing yet; found by reading. A stream that a small model had begun and that broke off was resumed with the large one, if the next server had a rate limit: one answer of two models.

Cause: the model for such servers was chosen at each attempt.

Tests: test_stream_is_resumed_with_its_model_at_a_limited_server failed before.

--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -12,6 +12,11 @@
 
 TOPIC = 'keyed.observations'
 LIMIT = 'Server-Limit'
+SIZED = {
+    'Arbutuschute-Model': '*',
+    'Arbutuschute-Token-Count': '400,20',
+    'Arbutuschute-Prompt-Prefix': 'aa:100,bb:300',
+}
 
 
 def make_answer(limits, name=None):
@@ -152,13 +157,25 @@
     put_report(world, 'other', {}, {'i-0 1': (50.0, 0.0)})
     found = world.instance.environment.rate_limits
     await conftest.wait_for(found.list_limits)
-    headers = {
-        'Arbutuschute-Model': '*',
-        'Arbutuschute-Token-Count': '400,20',
-        'Arbutuschute-Prompt-Prefix': 'aa:100,bb:300',
-    }
-    async with world.call('/sized/x', headers=headers) as response:
+    async with world.call('/sized/x', headers=SIZED) as response:
         assert response.status == 200
         await response.read()
     (seen,) = world.engines['i-0'].requests
     assert seen['Arbutuschute-Model'] == 'large'
+
+
+# Guards against one answer whose pieces are of two models.
+async def test_stream_is_resumed_with_its_model_at_a_limited_server(world):
+    await world.start([standin.make_stream(6, break_after=4, gap_s=0.01)])
+    other = await world.add_engine('i-1', standin.make_stream(6), zone='far')
+    put_report(world, 'other', {}, {'i-1 1': (50.0, 0.0)})
+    environment = world.instance.environment
+    await conftest.wait_for(environment.rate_limits.list_limits)
+    await conftest.wait_for(
+        lambda: len(environment.directory.find('plain')) == 2
+    )
+    async with world.call('/sized/x', headers=SIZED) as response:
+        assert (await response.read()).count(b'\n\n') == 6
+    (resumed,) = other.requests
+    assert resumed['Last-Event-Id'] == '3'
+    assert resumed['Arbutuschute-Model'] == 'small'
