Report limits less often where there are many instances

What callers saw: nothing yet. Each instance reads all reports: with 410 instances that was 102 reports a second, near the whole of what control may use (29 KB/s).

Change: all together make 25 reports a second at most; below 100 instances the period stays at 4 s. A report's lifetime follows the period.

Tests: test_many_instances_report_less_often.

--- a/arbutuschute/machines/limits.py
+++ b/arbutuschute/machines/limits.py
@@ -1,7 +1,6 @@
 """Rate limits of backend servers: heard, told to others and kept."""
 
-# Reports are renewed well within their lifetime.
-RENEW_S = 4.0
+CHECK_PERIOD_S = 1.0
 # Several servers often begin to limit requests at the same moment.
 COLLECT_S = 0.1
 
@@ -14,7 +13,8 @@
     """
 
     __slots__ = ('_get_demand', '_is_due', '_log', '_metrics', '_publish',
-                 '_rate_limits', '_timer', 'last_report')  # fmt: skip
+                 '_rate_limits', '_reported_at', '_timer',
+                 'last_report')  # fmt: skip
 
     def __init__(self, rate_limits, timer, log, metrics, get_demand, publish):
         self._rate_limits = rate_limits
@@ -26,7 +26,8 @@
         self._is_due = False
         # The report that is in force, None while there are no limits.
         self.last_report = None
-        timer.every(RENEW_S).subscribe(lambda _: self._report())
+        self._reported_at = timer.now()
+        timer.every(CHECK_PERIOD_S).subscribe(self._renew)
 
     def record(self, server, per_s):
         """Record the limit in a server's response, None if it has none."""
@@ -56,12 +57,17 @@
             self._is_due = True
             self._timer.call_after(COLLECT_S, self._report)
 
+    def _renew(self, now):
+        if now - self._reported_at >= self._rate_limits.report_period_s:
+            self._report()
+
     def _report(self):
         """Publish this instance's report while there are limits.
 
         The last one has none, for instances that start later.
         """
         self._is_due = False
+        self._reported_at = self._timer.now()
         report = self._rate_limits.make_report(self._get_demand())
         if report is None and self.last_report is None:
             return
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -26,8 +26,12 @@
 # instance's old and new demand counts for others, and the smaller for itself,
 # so that the shares don't add up to more than the limit.
 SETTLE_S = 1.0
-# An instance that has not renewed its report is gone.
-REPORT_LIFETIME_S = 12.0
+# Each instance renews its report after this time, or less often if there are
+# more instances than this many reports a second allow: all receive each.
+MIN_REPORT_PERIOD_S = 4.0
+MAX_REPORTS_PER_S = 25.0
+# An instance that has not renewed its report for this many periods is gone.
+REPORT_LIFETIME_PERIODS = 3
 # A statement of a server that hasn't been heard since is dropped.
 STATEMENT_LIFETIME_S = 60.0
 # Others have been told of the end of a limit by then.
@@ -176,6 +180,11 @@
         self._computed_at = float('-inf')
         return before != self._find_limits()
 
+    @property
+    def report_period_s(self):
+        """The seconds after which each instance renews its report."""
+        return max(MIN_REPORT_PERIOD_S, len(self._reports) / MAX_REPORTS_PER_S)
+
     def make_report(self, demand):
         """Return the report of this instance; None if it has none to make."""
         now = self._now()
@@ -259,8 +268,9 @@
 
     def _forget_old(self):
         now = self._now()
+        lifetime_s = REPORT_LIFETIME_PERIODS * self.report_period_s
         for name, reported in list(self._reports.items()):
-            if now - reported.at > REPORT_LIFETIME_S:
+            if now - reported.at > lifetime_s:
                 del self._reports[name]
         for server, (per_s, at) in list(self._statements.items()):
             lifetime_s = STATEMENT_LIFETIME_S if per_s else END_LIFETIME_S
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -84,7 +84,8 @@
                 rate = per_s[name] if isinstance(per_s, dict) else per_s
                 if generator.random() < rate * STEP_S:
                     self.offer(name, limit)
-                if self.clock.seconds - self.reported_at[name] > 4.0:
+                period_s = self.instances[name].report_period_s
+                if self.clock.seconds - self.reported_at[name] > period_s:
                     self.report(name)
 
     def count_most(self, since):
@@ -168,7 +169,10 @@
     generator = random.Random(1)
     fleet.run(10.0, 4.0, 10.0, generator)
     del fleet.instances['i0']
-    fleet.run(rate_limits.REPORT_LIFETIME_S + 1.0, 4.0, 10.0, generator)
+    lifetime_s = (
+        rate_limits.REPORT_LIFETIME_PERIODS * rate_limits.MIN_REPORT_PERIOD_S
+    )
+    fleet.run(lifetime_s + 1.0, 4.0, 10.0, generator)
     fleet.sent.clear()
     fleet.run(10.0, 4.0, 10.0, generator)
     assert len(fleet.sent) > 0.9 * 4.0 * 10.0
@@ -261,3 +265,13 @@
     assert demand.get_rates()['pool'] == pytest.approx(10.0, rel=0.15)
     clock.seconds += 20.0
     assert demand.get_rates() == {}
+
+
+def test_many_instances_report_less_often():
+    found, _ = make()
+    found.record('s', 5.0)
+    period_s = found.report_period_s
+    assert period_s == rate_limits.MIN_REPORT_PERIOD_S
+    for number in range(409):
+        found.apply(rate_limits.LimitReport(f'i{number}', 'r'))
+    assert 410 / found.report_period_s <= 1.1 * rate_limits.MAX_REPORTS_PER_S
