Clear the prompt parts of requests that were answered in one piece

What callers saw: nothing yet; found by reading. On routes that don't stream, an answer cleared no part of its prompt, so the parts that sound requests share stayed beside the one that crashes servers. A request with that part and other neighbours was sent once more and crashed a server.

Cause: answers were recorded where streams are relayed only; whole responses on the platform's link were not. The own interface records both.

Change: a complete successful response clears its parts, and a successful head counts as the begin of one, as for streams.

Test: test_answers_in_one_piece_tell_which_part_crashes_servers failed before (502 and a fourth crash instead of prompt-quarantined).

--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -1,6 +1,7 @@
 """Requests with a complete response instead of a stream."""
 
 from arbutuschute import errors
+from arbutuschute import progress
 from arbutuschute.traffic import answers
 from arbutuschute.traffic import sending
 from arbutuschute.traffic import timeouts
@@ -74,13 +75,16 @@
 async def _fetch(environment, request, server):
     left_s = request.deadline_at - environment.now()
     async with environment.open_attempt(server, request, left_s) as attempt:
-        head = attempt.head
-        return answers.Answer(head, await attempt.read_whole())
+        if attempt.head.is_success:
+            request.progress = progress.Progress.HEAD
+        return answers.Answer(attempt.head, await attempt.read_whole())
 
 
 def _record_answer(environment, request, server, answer, seconds):
     head = answer.head
     sending.record_head(environment, server, head)
+    if head.is_success:
+        environment.crash_reports.record_answer(request.prompt_parts)
     failed = head.is_failure
     if failed:
         server.record_failure(environment.now(), pauses=False)
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -26,11 +26,11 @@
     }
 
 
-async def send(world, number, *shared):
+async def send(world, number, *shared, path='/stream/x'):
     """Return (status, code) of a request; 0 for a broken connection."""
     headers = make_headers(number, *shared)
     try:
-        async with world.call('/stream/x', headers=headers) as response:
+        async with world.call(path, headers=headers) as response:
             body = await response.read()
     except aiohttp.ClientError:
         return 0, ''
@@ -68,6 +68,21 @@
     assert await send(world, 21, 'all') == (200, '')
 
 
+# Guards against requests with the part being sent because others without it,
+# answered in one piece, did not clear the parts that they share.
+async def test_answers_in_one_piece_tell_which_part_crashes_servers(world):
+    await world.start([standin.make_crashing(DEADLY)] * 8)
+    for number in range(quarantine.QUARANTINE_CRASHES):
+        await send(world, number, 'all', 'doc', DEADLY, path='/again/x')
+        sound = await send(world, 10 + number, 'all', 'doc', path='/again/x')
+        assert sound == (200, '')
+        await asyncio.sleep(0.25)
+    crashes = count_crashes(world)
+    ended = await send(world, 20, 'other', DEADLY, path='/again/x')
+    assert ended == (503, 'prompt-quarantined')
+    assert count_crashes(world) == crashes
+
+
 # Guards against a request that is sent to each server in turn and crashes
 # them all.
 async def test_request_that_crashed_two_servers_is_not_sent_to_a_third(world):
