Keep rate limits that servers state in refusals

A server whose queue is full states its limit with refusals only; to an instance that got nothing else the limit was unknown, and it went on sending.

Cause: a refusal became a failure before the head's limit was read, on both links.

Change: a refusal carries the stated limit, and it is recorded like that of an answer. A refusal without one ends no limit, and the limit of a server that now has the address is not taken for that of the expected one.

Tests: test_limit_in_a_refusal_is_kept (platform) and test_refusal_tells_the_rate_limit (own link) failed before.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -110,6 +110,10 @@
                     environment.limit_reports.record(server, per_s)
                 work.progress = progress.Progress.HEAD
                 yield response
+        except errors.EngineRefused as refusal:
+            if refusal.rate_limit is not None:
+                environment.limit_reports.record(server, refusal.rate_limit)
+            raise
         finally:
             server.finish(environment.timer.now())
 
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -160,10 +160,26 @@
     'instance', retry_after_s=1,
 )  # fmt: skip
 
+
+class _Refusal(Failure):
+    """A backend server's refusal.
+
+    ``rate_limit`` is the requests a second that it said it accepts, None if
+    it said nothing.
+    """
+
+    rate_limit = None
+
+    def mark_rate_limit(self, per_s):
+        """Set the stated rate limit, and return this failure."""
+        self.rate_limit = per_s
+        return self
+
+
 # Backend servers.
 EngineRefused = define(
     'EngineRefused', 'engine-refused', 'Backend server refused', 503,
-    'server', 'reason', retry_after_s=1,
+    'server', 'reason', retry_after_s=1, base=_Refusal,
 )  # fmt: skip
 EngineUnreachable = define(
     'EngineUnreachable', 'engine-unreachable',
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -90,6 +90,7 @@
     except (msgspec.DecodeError, errors.AnswerBroken):
         refusal = _Refusal(reason='unclear', ran='unknown')
     failure = errors.EngineRefused(server.name, refusal.reason)
+    failure.mark_rate_limit(read_rate_limit(response))
     known = refusal.ran == errors.Ran.NO.value
     return failure.mark_ran(errors.Ran.NO if known else errors.Ran.UNKNOWN)
 
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -97,7 +97,7 @@
     if echo != request.id:
         raise errors.AnswerCrossed(server.name).mark_ran(errors.Ran.UNKNOWN)
     if is_refusal:
-        raise errors.EngineRefused(server.name, str(response.status))
+        raise _make_refusal(server, response)
     if names.ORIGIN_PROOF not in headers and response.status < 300:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
     load, slowness = _decode_load(server.name, headers.get(names.LOAD))
@@ -113,6 +113,15 @@
     return Attempt(server, response, head)
 
 
+def _make_refusal(server, response):
+    refusal = errors.EngineRefused(server.name, str(response.status))
+    if response.status == 421:
+        return refusal  # Of another server, which has the address now.
+    return refusal.mark_rate_limit(
+        rate_limits.parse(response.headers.get(names.RATE_LIMIT))
+    )
+
+
 def _select_headers(headers):
     dropped = {
         token.strip().lower()
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -222,12 +222,19 @@
         environment.limit_reports.record(server, head.rate_limit)
 
 
+def _record_refusal(environment, server, refusal):
+    """Record a stated limit; a refusal without one ends none."""
+    if refusal.rate_limit is not None:
+        environment.limit_reports.record(server, refusal.rate_limit)
+
+
 def record_failure(environment, request, server, failure):
     """Record a failed attempt for the choice of servers and roll-outs."""
     request.record_ran(failure.ran)
     # A full server refuses requests; that is not a fault of its version.
-    refused = isinstance(failure, errors.EngineRefused)
-    if not refused:
+    if isinstance(failure, errors.EngineRefused):
+        _record_refusal(environment, server, failure)
+    else:
         environment.rollouts.record(server, 'error', True)
     server.record_failure(
         environment.now(), pauses=isinstance(failure, PAUSING_FAILURES)
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -124,6 +124,34 @@
     assert world.instance.environment.rate_limits.list_limits()
 
 
+# Guards against a limit that is not kept because the server that states it
+# only refuses, as a full one does.
+async def test_limit_in_a_refusal_is_kept(world):
+    async def refuse(engine, request, body):
+        return standin.web.Response(
+            status=503, headers={'Arbutuschute-Not-Executed': '1', LIMIT: '1'}
+        )
+
+    await world.start([refuse, standin.answer_ok])
+    found = world.instance.environment.rate_limits
+    for number in range(40):
+        assert (await send(world, number))[0] == 200
+    assert found.list_limits() == {'i-0 1': 1.0}
+    assert count(world, 'i-0') <= 2
+
+
+# The address has a new owner, whose limit isn't that of the expected server.
+async def test_limit_of_another_server_at_the_address_is_ignored(world):
+    async def deny(engine, request, body):
+        return standin.web.Response(status=421, headers={LIMIT: '1'})
+
+    await world.start([deny, standin.answer_ok])
+    for number in range(10):
+        assert (await send(world, number))[0] == 200
+    assert count(world, 'i-0')
+    assert not world.instance.environment.rate_limits.list_limits()
+
+
 @pytest.mark.parametrize('text', ['', 'many', 'nan', 'inf', '-inf', '1,2'])
 async def test_malformed_limit_is_none(world, text):
     await world.start([make_answer([text])])
--- a/tests/test_faulty_engines.py
+++ b/tests/test_faulty_engines.py
@@ -120,6 +120,19 @@
     assert crossed.value.ran is errors.Ran.UNKNOWN
 
 
+# Guards against a limit that is not kept because the engine that states it
+# only refuses.
+async def test_refusal_tells_the_rate_limit():
+    def answer(number, request_id):
+        refusal = make_response(request_id, b'503 Busy', REFUSAL)
+        head, body = refusal.split(b'\r\n\r\n')
+        return head + b'\r\nX-Rate-Limit: 2.5\r\n\r\n' + body, scripted.KEEP
+
+    async with scripted.ScriptedServer(answer) as server:
+        failure = await find_failure(send, server)
+    assert failure.rate_limit == 2.5
+
+
 async def test_refusal_without_a_request_id_says_nothing():
     def answer(number, request_id):
         refusal = make_response(request_id, b'503 Busy', REFUSAL)
