Write only the newest limit report after an outage of the store

What callers saw: nothing yet; found by reading. Reports of limits queued up while the store was away, one every 4 s, and all were written when it was back. Their ages were those of the moment when they were made, so a limit that had ended meanwhile looked newer than its end, and each was a priced call.

Cause: reports, of which only the newest counts, were queued like crashes, of which each counts.

Change: one report waits at most, and it is written with its age.

Test: test_newest_report_is_written_after_an_outage_with_its_age failed before (two records, the outdated one first).

--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -36,7 +36,7 @@
     """Reads and writes the observations that instances share."""
 
     __slots__ = ('_apply_observation', '_is_queued', '_log', '_name',
-                 '_numbers', '_queue', '_store', '_timer',
+                 '_numbers', '_queue', '_report', '_store', '_timer',
                  '_topic')  # fmt: skip
 
     def __init__(self, store, timer, log, name, apply, zone_reader=None):
@@ -47,6 +47,8 @@
         self._apply_observation = apply
         self._numbers = collections.Counter()
         self._queue = collections.deque()
+        # The newest limit report and its time, None if it is written.
+        self._report = None
         self._is_queued = asyncio.Event()
         read_limits = readers.ReadLimits(
             PEER_WAIT_S, WAIT_S + followers.LATE_READ_SLACK_S
@@ -65,13 +67,22 @@
         return self._topic.position is not None
 
     def publish(self, observation):
-        """Queue an observation for the other instances."""
+        """Queue an observation for the other instances.
+
+        A limit report replaces one that hasn't been written yet.
+        """
+        if isinstance(observation, rate_limits.LimitReport):
+            self._report = observation, self._timer.now()
+        else:
+            self._enqueue(observation)
+        self._is_queued.set()
+
+    def _enqueue(self, observation):
         if len(self._queue) >= MAX_QUEUED:
             self._log.warning(
                 'observation dropped', dropped=repr(self._queue.popleft())
             )
         self._queue.append(observation)
-        self._is_queued.set()
 
     async def run(self):
         """Follow the topic and write what is queued, until cancelled."""
@@ -91,25 +102,45 @@
     async def _write(self):
         backoff_s = MIN_BACKOFF_S
         while True:
-            if not self._queue:
+            if not self._queue and self._report is None:
                 self._is_queued.clear()
                 await self._is_queued.wait()
-            observation = self._queue.popleft()
-            answer = await self._store.put(
-                TOPIC,
-                self._make_key(observation),
-                msgspec.json.encode(observation),
-            )
+            if self._queue:
+                answer = await self._write_next()
+            else:
+                answer = await self._write_report()
             if isinstance(answer, result.Success):
                 backoff_s = MIN_BACKOFF_S
                 continue
             self._log.warning(
                 'observation not written', cause=answer.failure().detail
             )
-            self._queue.appendleft(observation)
             await self._timer.sleep(backoff_s)
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    async def _write_next(self):
+        observation = self._queue.popleft()
+        answer = await self._put(observation)
+        if isinstance(answer, result.Failure):
+            self._queue.appendleft(observation)
+        return answer
+
+    async def _write_report(self):
+        (report, made_at), self._report = self._report, None
+        answer = await self._put(
+            report.make_older(self._timer.now() - made_at)
+        )
+        if isinstance(answer, result.Failure) and self._report is None:
+            self._report = report, made_at
+        return answer
+
+    async def _put(self, observation):
+        return await self._store.put(
+            TOPIC,
+            self._make_key(observation),
+            msgspec.json.encode(observation),
+        )
+
     def _make_key(self, observation):
         """Return a key: the newest report replaces the instance's last one.
 
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -72,6 +72,14 @@
     demand: dict[str, float] = {}
     limits: dict[str, tuple[float, float]] = {}
 
+    def make_older(self, seconds):
+        """Return this report as of ``seconds`` later."""
+        limits = {
+            server: (per_s, round(age_s + seconds, 3))
+            for server, (per_s, age_s) in self.limits.items()
+        }
+        return msgspec.structs.replace(self, limits=limits)
+
 
 class _Reported:
     """The demand in an instance's newest report and in the one before."""
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -124,6 +124,26 @@
     assert world.instance.environment.rate_limits.list_limits()
 
 
+# Guards against limits that have ended coming back after an outage of the
+# store: reports made meanwhile are outdated by then.
+async def test_newest_report_is_written_after_an_outage_with_its_age(world):
+    await world.start()
+    world.store.broken_topics.add(TOPIC)
+    name = world.instance.environment.name
+    publish = world.instance.observations.publish
+    publish(rate_limits.LimitReport(name, 'r', {}, {'s': (5.0, 0.0)}))
+    await asyncio.sleep(0.1)
+    publish(rate_limits.LimitReport(name, 'r', {}, {'s': (2.0, 1.0)}))
+    await asyncio.sleep(0.5)
+    world.store.broken_topics.clear()
+    await conftest.wait_for(lambda: find_reports(world))
+    await asyncio.sleep(0.3)
+    (report,) = find_reports(world)
+    per_s, age_s = report['limits']['s']
+    assert per_s == 2.0
+    assert age_s >= 1.5
+
+
 # Guards against a limit that is not kept because the server that states it
 # only refuses, as a full one does.
 async def test_limit_in_a_refusal_is_kept(world):
