Drop expired verdicts on prompt parts

What callers saw: nothing yet; found by reading. Each verdict was kept for the life of the process, and all are looked through for each request.

Change: a new verdict drops the expired ones.

Test: test_expired_verdicts_are_dropped failed before (100 kept).

--- a/arbutuschute/policy/quarantine.py
+++ b/arbutuschute/policy/quarantine.py
@@ -134,6 +134,9 @@
 
     def record_verdict(self, verdict):
         """Record a verdict on the parts that were not answered recently."""
+        self._verdicts = {
+            group: self._verdicts[group] for group in self._find_verdicts()
+        }
         if parts := self.select_unanswered(verdict.parts):
             self._verdicts[frozenset(parts)] = verdict.until
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -158,6 +158,16 @@
     assert len(found.list_groups(1)) <= quarantine.MAX_CRASHES
 
 
+# Guards against a process that runs for months and keeps each verdict.
+def test_expired_verdicts_are_dropped():
+    found, clock = make()
+    for number in range(100):
+        until = clock.seconds + quarantine.QUARANTINE_S
+        found.record_verdict(quarantine.Verdict((f'p{number}',), until))
+        clock.seconds += quarantine.QUARANTINE_S + 1.0
+    assert len(found._verdicts) == 1
+
+
 @hypothesis.given(strategies.data())
 def test_sound_requests_are_served_and_the_cause_is_found(data):
     """Requests crash a server exactly if they hold the part ``dead``.
