Log the model that a server with a rate limit is asked for

What callers saw: nothing. On-call engineers saw the small model in 'server chosen' for requests that asked for the large one.

Cause: the model for such a server was chosen after the line was written.

Change: it is chosen with the server.

Test: test_limited_server_is_asked_for_the_large_model_at_once reads the line, too; that failed before.

--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -38,8 +38,6 @@
     tried = set()
     while True:
         server = await sending.choose_server(environment, request, tried)
-        if not stream.is_started:
-            _choose_model_at_limit(environment, request, server)
         tried.add(server.name)
         request.begin_attempt(environment.now())
         try:
@@ -67,11 +65,6 @@
         return
 
 
-def _choose_model_at_limit(environment, request, server):
-    if environment.rate_limits.has_limit(server.incarnation):
-        request.model = environment.model_selector.select_limited(request)
-
-
 async def _attempt(environment, request, server, stream):
     """Relay one server's stream; return an ``Answer`` if there is none."""
     server.begin(environment.now())
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -50,6 +50,7 @@
     waits = _find_waits(environment, request, usable or fresh)
     chosen = _choose_among(environment, request, waits)
     _reserve(environment, chosen)
+    _choose_model_at_limit(environment, request, chosen)
     environment.log.info(
         'server chosen',
         request=request.id,
@@ -68,6 +69,14 @@
     return chosen, waits[chosen]
 
 
+def _choose_model_at_limit(environment, request, server):
+    """Set the model for a server with a limit, unless a stream has begun."""
+    if request.first_event_s is not None:
+        return
+    if environment.rate_limits.has_limit(server.incarnation):
+        request.model = environment.model_selector.select_limited(request)
+
+
 def _get_limit_wait_s(environment, server):
     """Return the seconds until a request may be sent to a server.
 
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -200,7 +200,9 @@
 
 
 # A dropped answer of the small model would use up two of the few requests.
-async def test_limited_server_is_asked_for_the_large_model_at_once(world):
+async def test_limited_server_is_asked_for_the_large_model_at_once(
+    world, capfd
+):
     await world.start([standin.make_stream(3, confidence='5')])
     put_report(world, 'other', {}, {'i-0 1': (50.0, 0.0)})
     found = world.instance.environment.rate_limits
@@ -210,6 +212,9 @@
         await response.read()
     (seen,) = world.engines['i-0'].requests
     assert seen['Arbutuschute-Model'] == 'large'
+    lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    (chosen,) = [line for line in lines if line['event'] == 'server chosen']
+    assert chosen['model'] == 'large'
 
 
 # Guards against one answer whose pieces are of two models.
