Judge the zone's reader by recent data only

A reader that alone had lost the store stayed in its role for up to 10 s: peers may use old observations, and each such answer counted as a sign that the reader was well, beside the failures of the other topics. Each peer read the store itself meanwhile.

Cause: every accepted answer counted, however old a topic allows it to be.

Change: an answer tells that the reader reads the store only if it is younger than the time after which a failing reader is replaced.

--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -128,7 +128,9 @@
         if response.age_s > read_limits.max_age_s:
             self._stale_cause = f'{topic} is {response.age_s:.2f} s old'
             return None
-        self._record_success(entry)
+        # Topics that may be older don't tell whether the store is read.
+        if response.age_s <= TAKEOVER_AFTER_S:
+            self._record_success(entry)
         return store_module.Page(
             response.end,
             start,
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -37,20 +37,50 @@
 # second, and a peer twice at most.
 MAX_OBSERVATION_CALLS = DOWN_S + 2 * (PEERS - 1)
 REGAINED_WITHIN_S = 0.6
+# The bound for a server that leaves; its topic allows the reader's data the
+# greatest age of those by which a reader is judged.
+DRAIN_S = 4.0
+MAX_AGE_S = (
+    followers.SERVER_PERIOD_SHARE_OF_BOUND * DRAIN_S
+    + followers.LATE_READ_SLACK_S
+)
+REPLACED_WITHIN_S = (
+    MAX_AGE_S
+    + readers.TAKEOVER_AFTER_S
+    + readers.CHECK_PERIOD_S
+    + readers.TAKEOVER_JITTER_S
+)
+
+
+class Outage:
+    """Whom the store refuses while it is down: all, or one instance."""
+
+    def __init__(self, timer):
+        self._timer = timer
+        self.only = None
+        self.refused = collections.Counter()
+
+    def refuses(self, address, topic):
+        if not DOWN_AT <= self._timer.now() < BACK_AT:
+            return False
+        if self.only not in (None, address):
+            return False
+        self.refused[topic] += 1
+        return True
 
 
 class FailingStore:
-    """Empty topics and the topic of readers; refuses calls in an outage."""
+    """One instance's client of empty topics and the topic of readers."""
 
-    def __init__(self, timer):
+    def __init__(self, timer, outage, registry, address):
         self._timer = timer
-        self.registry = test_log_cache.RegistryStore()
-        self.refused = collections.Counter()
+        self._outage = outage
+        self.registry = registry
+        self._address = address
 
     async def _answer(self, topic, value):
         await self._timer.sleep(REFUSAL_S)
-        if DOWN_AT <= self._timer.now() < BACK_AT:
-            self.refused[topic] += 1
+        if self._outage.refuses(self._address, topic):
             return result.Failure(errors.StoreDown('503'))
         return result.Success(value)
 
@@ -78,7 +108,8 @@
 
     def __init__(self, monkeypatch):
         self.timer = stepping.SteppedTimer()
-        self.store = FailingStore(self.timer)
+        self.outage = Outage(self.timer)
+        self._registry = test_log_cache.RegistryStore()
         self.leases = []
         self.readers = []
         self._caches = {}
@@ -90,24 +121,25 @@
 
     def _add(self, address, rng):
         timer, log = self.timer, test_followers.Log()
+        client = FailingStore(timer, self.outage, self._registry, address)
         cache = self._caches[address] = log_cache.LogCache(timer.now)
         lease = freshness.Freshness(timer.now, test_followers.LEASE_S)
         reader = readers.ZoneReader(
-            self.store, None, timer, log, rng, cache, 'a', address, address
+            client, None, timer, log, rng, cache, 'a', address, address
         )
         operator = followers.OperatorFollower(
-            self.store, timer, log, lease, None, None, reader
+            client, timer, log, lease, None, None, reader
         )
         servers = followers.ServerFollower(
-            self.store,
+            client,
             timer,
             log,
             test_log_cache.LeavingRecorder(timer),
-            4.0,
+            DRAIN_S,
             reader,
         )
         shared = observations.ObservationTask(
-            self.store, timer, log, address, None, reader
+            client, timer, log, address, None, reader
         )
         self.leases.append(lease)
         self.readers.append(reader)
@@ -120,6 +152,10 @@
             return result.Failure(errors.StoreGap(topic))
         return result.Success(found)
 
+    def find_readers(self):
+        """Return the instances that read the store for the zone."""
+        return [one for one in self.readers if one.is_reader]
+
     def run(self):
         """Run all tasks of all instances while the context lasts."""
         return stepping.run_together(task.run() for task in self._tasks)
@@ -133,10 +169,10 @@
 async def test_unavailable_store_is_read_mostly_by_the_reader(zone):
     async with zone.run():
         await zone.timer.run_until(DOWN_AT)
-        (before,) = [one for one in zone.readers if one.is_reader]
+        (before,) = zone.find_readers()
         assert all(lease.is_valid for lease in zone.leases)
         await zone.timer.run_until(BACK_AT)
-        refused = zone.store.refused
+        refused = zone.outage.refused
         assert refused.total() <= MAX_CALLS, refused
         assert refused[observations.TOPIC] <= MAX_OBSERVATION_CALLS, refused
         await zone.timer.run_until(BACK_AT + REGAINED_WITHIN_S)
@@ -144,4 +180,15 @@
         assert invalid == []
         await zone.timer.run_until(END)
         # The outage isn't the reader's fault: no other one takes over.
-        assert [one for one in zone.readers if one.is_reader] == [before]
+        assert zone.find_readers() == [before]
+
+
+# Guards against a reader that keeps its role without the store, as its peers
+# may use old observations.
+async def test_reader_that_alone_has_lost_the_store_is_replaced(zone):
+    async with zone.run():
+        await zone.timer.run_until(DOWN_AT)
+        (before,) = zone.find_readers()
+        zone.outage.only = before._own_entry.address
+        await zone.timer.run_until(DOWN_AT + REPLACED_WITHIN_S)
+        assert [one for one in zone.find_readers() if one is not before]
