Decide in one place whether a response ends a rate limit

Behaviour unchanged. Both links and both kinds of response, answers and refusals, had the rule that only a success without a limit ends one, four times; LimitReports.record has it now. An own report no longer computes the known limits that it does not need.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -105,14 +105,15 @@
                         errors.Ran.UNKNOWN
                     )
                 engine.check_echo(response, work.id, server)
-                per_s = engine.read_rate_limit(response)
-                if response.ok or per_s is not None:
-                    environment.limit_reports.record(server, per_s)
+                environment.limit_reports.record(
+                    server, engine.read_rate_limit(response), response.ok
+                )
                 work.progress = progress.Progress.HEAD
                 yield response
         except errors.EngineRefused as refusal:
-            if refusal.rate_limit is not None:
-                environment.limit_reports.record(server, refusal.rate_limit)
+            environment.limit_reports.record(
+                server, refusal.rate_limit, is_success=False
+            )
             raise
         finally:
             server.finish(environment.timer.now())
--- a/arbutuschute/machines/limits.py
+++ b/arbutuschute/machines/limits.py
@@ -29,8 +29,13 @@
         self._reported_at = timer.now()
         timer.every(CHECK_PERIOD_S).subscribe(self._renew)
 
-    def record(self, server, per_s):
-        """Record the limit in a server's response, None if it has none."""
+    def record(self, server, per_s, is_success):
+        """Record the limit in a server's response, None if it has none.
+
+        Only a success without a limit tells that there is none any more.
+        """
+        if per_s is None and not is_success:
+            return
         if not self._rate_limits.record(server.incarnation, per_s):
             return
         self._log.info('server limit', server=server.name, per_s=per_s)
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -183,13 +183,14 @@
 
         This instance's own report tells that the others can know of it.
         """
-        before = dict(self._find_limits())
-        self._computed_at = float('-inf')
         if report.instance == self._name:
             self._own = _Reported(report, self._now(), self._own)
+            self._computed_at = float('-inf')
             return False
+        before = dict(self._find_limits())
         known = self._reports.get(report.instance)
         self._reports[report.instance] = _Reported(report, self._now(), known)
+        self._computed_at = float('-inf')
         return before != self._find_limits()
 
     @property
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -227,14 +227,7 @@
     """Record what a response's head says of the server."""
     if head.load is not None:
         server.record_load(head.load, head.slowness, environment.now())
-    if head.is_success or head.rate_limit is not None:
-        environment.limit_reports.record(server, head.rate_limit)
-
-
-def _record_refusal(environment, server, refusal):
-    """Record a stated limit; a refusal without one ends none."""
-    if refusal.rate_limit is not None:
-        environment.limit_reports.record(server, refusal.rate_limit)
+    environment.limit_reports.record(server, head.rate_limit, head.is_success)
 
 
 def record_failure(environment, request, server, failure):
@@ -242,7 +235,9 @@
     request.record_ran(failure.ran)
     # A full server refuses requests; that is not a fault of its version.
     if isinstance(failure, errors.EngineRefused):
-        _record_refusal(environment, server, failure)
+        environment.limit_reports.record(
+            server, failure.rate_limit, is_success=False
+        )
     else:
         environment.rollouts.record(server, 'error', True)
     server.record_failure(
