Count calls and bytes at the store by topic; log readiness and outages

What operators saw: nothing told how much of the link to the store each topic takes, nor when an instance leaves the balancer's rotation, nor how often a topic was tried in an outage.

Change: counters store.calls, store.failures, store.bytes_read and store.bytes_written by topic; a line 'readiness' when its answer changes; 'store regained' carries the failed reads and how long it was lost.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -56,8 +56,8 @@
 
     __slots__ = ('_caller_site', '_ingress', '_log', '_log_cache', '_path',
                  '_runners', '_sessions', '_settings', '_stopping', '_tasks',
-                 '_timer', 'environment', 'observations', 'operator', 'reader',
-                 'rollout_task', 'servers')  # fmt: skip
+                 '_timer', '_was_ready', 'environment', 'observations',
+                 'operator', 'reader', 'rollout_task', 'servers')  # fmt: skip
 
     def __init__(self, settings, path, loop):
         self._settings = settings
@@ -74,6 +74,8 @@
         self._runners = []
         self._tasks = []
         self._stopping = asyncio.Event()
+        # The answer to the last readiness check.
+        self._was_ready = False
 
     def _build_environment(self):
         settings = self._settings
@@ -101,7 +103,9 @@
 
     def _build_followers(self, identity):
         environment = self.environment
-        client = store.Store(self._sessions[1], self._settings.store)
+        client = store.Store(
+            self._sessions[1], self._settings.store, environment.metrics
+        )
         settings = self._settings
         self.reader = readers.ZoneReader(
             client, self._sessions[1], self._timer, self._log,
@@ -239,10 +243,17 @@
 
     async def _handle_readiness(self, _):
         """Respond with 200 if ready for new connections, else with 503."""
-        ready = (
-            self.environment.state == 'live'
-            and self.environment.freshness.is_valid
-        )
+        freshness = self.environment.freshness
+        state = self.environment.state
+        ready = state == 'live' and freshness.is_valid
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self._log.info(
+                'readiness',
+                ready=ready,
+                state=state,
+                configuration_age_ms=logs.round_to_ms(freshness.age_s),
+            )
         return web.Response(status=200 if ready else 503)
 
     async def _handle_metrics(self, _):
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from arbutuschute import errors
+from arbutuschute import logs
 from arbutuschute.platform import configuration
 from arbutuschute.platform import directory as directory_records
 from arbutuschute.platform import readers
@@ -54,9 +55,10 @@
     """
 
     __slots__ = ('_apply', '_direct_backoff_s', '_direct_retry_at',
-                 '_keep_only', '_log', '_read_limits', '_remove', '_store',
-                 '_timer', '_topic', '_was_long_poll', '_zone_reader',
-                 'confirmed_at', 'failing', 'position')  # fmt: skip
+                 '_failed_reads', '_failing_since', '_keep_only', '_log',
+                 '_read_limits', '_remove', '_store', '_timer', '_topic',
+                 '_was_long_poll', '_zone_reader', 'confirmed_at', 'failing',
+                 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, zone_reader=None,
@@ -72,6 +74,9 @@
         self._read_limits = read_limits
         self.position = None
         self.failing = False
+        # Failed reads in a row, and when the first one failed.
+        self._failed_reads = 0
+        self._failing_since = float('-inf')
         # Whether the last read was a long poll at the zone's reader.
         self._was_long_poll = False
         # No direct read before this time after failures.
@@ -217,14 +222,22 @@
     def _record_result(self, answer):
         """Record whether reads fail; log when that changes."""
         failed = isinstance(answer, result.Failure)
+        self._failed_reads += failed
         if failed == self.failing:
             return
         self.failing = failed
         if failed:
+            self._failing_since = self._timer.now()
             cause = answer.failure().detail
             self._log.warning('store lost', topic=self._topic, cause=cause)
-        else:
-            self._log.info('store regained', topic=self._topic)
+            return
+        self._log.info(
+            'store regained',
+            topic=self._topic,
+            failed_reads=self._failed_reads,
+            lost_ms=logs.round_to_ms(self._timer.now() - self._failing_since),
+        )
+        self._failed_reads = 0
 
 
 class OperatorFollower:
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from arbutuschute import errors
+from arbutuschute import metrics as metrics_module
 
 # The store responds in about 4 ms, and in a few hundred on slow days.
 CALL_TIMEOUT_S = 1.5
@@ -66,11 +67,12 @@
     means that the requested records have been deleted.
     """
 
-    __slots__ = ('_base', '_session')
+    __slots__ = ('_base', '_metrics', '_session')
 
-    def __init__(self, session, address):
+    def __init__(self, session, address, metrics=None):
         self._session = session
         self._base = f'http://{address}'
+        self._metrics = metrics or metrics_module.Metrics(None)
 
     async def read(self, topic, start, wait_s=0.0):
         """Return a ``Page`` of a topic's first partition from ``start`` on.
@@ -122,6 +124,21 @@
         return answer.bind(_decode_offset)
 
     async def _call(self, method, path, query, body=None, wait_s=0.0):
+        topic = query['topic']
+        self._metrics.count(f'store.calls.{topic}', 1)
+        answer = await self._send(method, path, query, body, wait_s)
+        if isinstance(answer, result.Failure):
+            self._metrics.count(f'store.failures.{topic}', 1)
+        else:
+            self._metrics.count(
+                f'store.bytes_read.{topic}', len(answer.unwrap())
+            )
+            self._metrics.count(
+                f'store.bytes_written.{topic}', len(body or b'')
+            )
+        return answer
+
+    async def _send(self, method, path, query, body, wait_s):
         try:
             async with self._session.request(
                 method,
@@ -136,7 +153,7 @@
         if response.status == 200:
             return result.Success(raw)
         if response.status == 410:
-            return result.Failure(errors.StoreGap(query.get('topic')))
+            return result.Failure(errors.StoreGap(query['topic']))
         return result.Failure(errors.StoreDown(f'{path} {response.status}'))
 
 
