--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -11,8 +11,8 @@
 from returns import result
 
 from arbutuschute import messages
-from arbutuschute.platform import followers
 from arbutuschute.platform import readers
+from arbutuschute.platform import topics
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
 
@@ -55,7 +55,7 @@
         self._report = None
         self._is_queued = asyncio.Event()
         read_limits = readers.ReadLimits(PEER_WAIT_S, MAX_AGE_S)
-        self._topic = followers.TopicFollower(
+        self._topic = topics.TopicFollower(
             store, timer, TOPIC, log, self._apply, zone_reader=zone_reader,
             read_limits=read_limits,
         )  # fmt: skip
@@ -105,7 +105,7 @@
         """Return the pause after a failed read; a start waits for one."""
         if self.is_loaded:
             return PAUSE_AFTER_FAILURE_S
-        return followers.PAUSE_AFTER_FAILURE_S
+        return topics.PAUSE_AFTER_FAILURE_S
 
     async def _write(self):
         backoff_s = MIN_BACKOFF_S
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -5,6 +5,7 @@
 from arbutuschute.platform import configuration
 from arbutuschute.platform import followers
 from arbutuschute.platform import readers
+from arbutuschute.platform import topics
 from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
 
@@ -39,7 +40,7 @@
         read_limits = readers.ReadLimits(
             PERIOD_S, PERIOD_S * PERIOD_SPREAD[1] + followers.LATE_READ_SLACK_S
         )
-        self._topic = followers.TopicFollower(
+        self._topic = topics.TopicFollower(
             store, timer, TOPIC, log, self._apply, zone_reader=zone_reader,
             read_limits=read_limits,
         )  # fmt: skip
@@ -66,7 +67,7 @@
     async def run(self):
         """Read the existing steps, then advance roll-outs until cancelled."""
         while isinstance(await self._topic.read(), result.Failure):
-            await self._timer.sleep(followers.PAUSE_AFTER_FAILURE_S)
+            await self._timer.sleep(topics.PAUSE_AFTER_FAILURE_S)
         while True:
             await self._topic.wait(
                 PERIOD_S * self._random.uniform(*PERIOD_SPREAD)
--- /dev/null
+++ b/arbutuschute/platform/topics.py
@@ -0,0 +1,216 @@
+"""Following of one topic of the store: its newest records, then new ones."""
+
+import msgspec
+from returns import result
+
+from arbutuschute import errors
+from arbutuschute import logs
+from arbutuschute.platform import store as store_module
+
+PAUSE_AFTER_FAILURE_S = 0.25
+# In an outage of the store the zone's reader retries it after the pause above,
+# and its peers query the reader. They also retry the store themselves, as it
+# may be unavailable to the reader alone: once more within the time in which a
+# leaving server has to be noticed, then with growing pauses.
+MIN_DIRECT_BACKOFF_S = 0.5
+MAX_DIRECT_BACKOFF_S = 2.0
+
+
+def _ignore(_):
+    pass
+
+
+class TopicFollower:
+    """Follows one keyed topic and applies its records.
+
+    ``apply(record)`` is called for each record with a value and may raise
+    ``msgspec.DecodeError``; ``remove(key)`` for each deletion;
+    ``keep_only(keys)`` with the keys found when the topic is read from its
+    beginning. With ``zone_reader``, new records come from the zone's reader
+    while it is healthy, and otherwise from the store.
+    """
+
+    __slots__ = ('_apply', '_direct_backoff_s', '_direct_retry_at',
+                 '_failed_reads', '_failing_since', '_keep_only', '_log',
+                 '_read_limits', '_remove', '_store', '_timer', '_topic',
+                 '_was_long_poll', '_zone_reader', 'confirmed_at', 'failing',
+                 'position')  # fmt: skip
+
+    def __init__(self, store, timer, topic, log, apply, remove=_ignore,
+                 keep_only=_ignore, zone_reader=None,
+                 read_limits=None):  # fmt: skip
+        self._store = store
+        self._timer = timer
+        self._topic = topic
+        self._log = log
+        self._apply = apply
+        self._remove = remove
+        self._keep_only = keep_only
+        self._zone_reader = zone_reader
+        self._read_limits = read_limits
+        self.position = None
+        self.failing = False
+        # Failed reads in a row, and when the first one failed.
+        self._failed_reads = 0
+        self._failing_since = float('-inf')
+        # Whether the last read was a long poll at the zone's reader.
+        self._was_long_poll = False
+        # No direct read before this time after failures.
+        self._direct_retry_at = float('-inf')
+        self._direct_backoff_s = 0.0
+        # When the store last had nothing newer than what has been read.
+        self.confirmed_at = float('-inf')
+
+    async def read(self, wait_s=0.0, is_direct=False):
+        """Read once; return ``Result`` with whether all records were read.
+
+        The store may wait ``wait_s`` for new records; ``is_direct`` bypasses
+        the zone's reader.
+        """
+        if self.position is None:
+            answer = await self._read_newest()
+        else:
+            answer = await self._read_next(wait_s, is_direct)
+        self._record_result(answer)
+        return answer
+
+    async def wait(self, period_s):
+        """Wait until the next read is due.
+
+        That is at once after a long poll at the zone's reader.
+        """
+        was_long_poll, self._was_long_poll = self._was_long_poll, False
+        if not was_long_poll:
+            await self._timer.sleep(period_s)
+
+    async def _read_newest(self):
+        requested_at = self._timer.now()
+        answer = await self._store.read_newest(self._topic)
+        if isinstance(answer, result.Failure):
+            return answer
+        records, end = answer.unwrap()
+        for record in sorted(records, key=lambda record: record.offset):
+            self._apply_record(record)
+        # Records that the pages lack are read next, from ``end`` on.
+        self._keep_only({r.key for r in records if r.value is not None})
+        self.position = end
+        self._was_long_poll = False
+        self.confirmed_at = requested_at
+        self._share_records(end, (), requested_at)
+        return result.Success(True)
+
+    async def _read_next(self, wait_s, is_direct):
+        requested_at = self._timer.now()
+        page = None
+        if self._zone_reader is not None and not is_direct:
+            page = await self._zone_reader.read(
+                self._topic,
+                self.position,
+                self._read_limits,
+                self.confirmed_at,
+            )
+        self._was_long_poll = page is not None
+        if page is None:
+            if not is_direct and self._timer.now() < self._direct_retry_at:
+                return result.Failure(errors.StoreDown('left to the reader'))
+            answer = await self._read_store(self._limit_wait(wait_s))
+            self._back_off_direct_reads(answer)
+            if isinstance(answer, result.Failure):
+                return answer
+            page = answer.unwrap()
+        else:
+            self.confirmed_at = max(
+                self.confirmed_at, requested_at + page.current_after_s
+            )
+        self._apply_page(page)
+        return result.Success(page.next >= page.end)
+
+    def _limit_wait(self, wait_s):
+        """Return how long the store may wait for new records.
+
+        A response without records confirms nothing before it arrives. While
+        the zone's reader fails, the last confirmation may be old already.
+        """
+        if self._read_limits is None:
+            return wait_s
+        fresh_until = self.confirmed_at + self._read_limits.max_age_s
+        return min(wait_s, max(0.0, fresh_until - self._timer.now()))
+
+    def _back_off_direct_reads(self, answer):
+        """Retry an unavailable store less often if the reader does so, too."""
+        now = self._timer.now()
+        if isinstance(answer, result.Success):
+            self._direct_backoff_s = 0.0
+            return
+        if self._zone_reader is None or not self._zone_reader.follows_reader:
+            return
+        self._direct_backoff_s = min(
+            max(2 * self._direct_backoff_s, MIN_DIRECT_BACKOFF_S),
+            MAX_DIRECT_BACKOFF_S,
+        )
+        self._direct_retry_at = now + self._direct_backoff_s
+
+    async def _read_store(self, wait_s):
+        requested_at = self._timer.now()
+        answer = await self._store.read(self._topic, self.position, wait_s)
+        if isinstance(answer, result.Failure):
+            if isinstance(answer.failure(), errors.StoreGap):
+                self.position = None
+                self._log.info('records gone', topic=self._topic)
+            return answer
+        page = answer.unwrap()
+        if page.next >= page.end:
+            # The store responds early only with new records.
+            waited_s = self._timer.now() - requested_at
+            self.confirmed_at = requested_at + (
+                wait_s if waited_s >= wait_s else 0.0
+            )
+        self._share_records(page.start, page.records, self.confirmed_at)
+        return answer
+
+    def _share_records(self, start, records, confirmed_at):
+        if self._zone_reader is not None:
+            self._zone_reader.record_read(
+                self._topic, start, records, confirmed_at
+            )
+
+    def _apply_page(self, page):
+        for number, raw in enumerate(page.records):
+            record = store_module.split_keyed(raw, page.start + number)
+            if record is not None:
+                self._apply_record(record)
+        self.position = page.next
+
+    def _apply_record(self, record):
+        if record.value is None:
+            self._remove(record.key)
+            return
+        try:
+            self._apply(record)
+        except msgspec.DecodeError as error:
+            self._log.error(
+                'record malformed',
+                topic=self._topic,
+                key=record.key,
+                cause=str(error),
+            )
+
+    def _record_result(self, answer):
+        """Record whether reads fail; log when that changes."""
+        failed = isinstance(answer, result.Failure)
+        self._failed_reads += failed
+        if failed == self.failing:
+            return
+        self.failing = failed
+        if failed:
+            self._failing_since = self._timer.now()
+            cause = answer.failure().detail
+            self._log.warning('store lost', topic=self._topic, cause=cause)
+            return
+        self._log.info(
+            'store regained',
+            topic=self._topic,
+            failed_reads=self._failed_reads,
+            lost_ms=logs.round_to_ms(self._timer.now() - self._failing_since),
+        )
+        self._failed_reads = 0
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -20,6 +20,7 @@
 from arbutuschute.platform import directory
 from arbutuschute.platform import followers
 from arbutuschute.platform import store
+from arbutuschute.platform import topics
 
 REVOKE_S = 5.0
 LEASE_S = 4.4
@@ -205,7 +206,7 @@
         timer = Timer()
         zone_reader = HoldingZoneReader()
         script = ScriptedStore(timer, [(0.0, 0.0, False)] * 9, [])
-        topic = followers.TopicFollower(
+        topic = topics.TopicFollower(
             script,
             timer,
             't',
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -17,6 +17,7 @@
 from arbutuschute.platform import observations
 from arbutuschute.platform import readers
 from arbutuschute.platform import store
+from arbutuschute.platform import topics
 from arbutuschute.zones import log_cache
 from tests import stepping
 from tests import test_followers
@@ -30,8 +31,8 @@
 # For each of two topics: the reader retries at its pace throughout; a peer at
 # once, then with growing pauses up to the maximum.
 DOWN_S = BACK_AT - DOWN_AT
-READER_CALLS = DOWN_S / followers.PAUSE_AFTER_FAILURE_S
-PEER_CALLS = DOWN_S / followers.MAX_DIRECT_BACKOFF_S + 4
+READER_CALLS = DOWN_S / topics.PAUSE_AFTER_FAILURE_S
+PEER_CALLS = DOWN_S / topics.MAX_DIRECT_BACKOFF_S + 4
 MAX_CALLS = 2 * (READER_CALLS + (PEERS - 1) * PEER_CALLS)
 # What instances share of servers may come late: the reader retries once a
 # second, and a peer twice at most.
