Retry with growing pauses in instances that start in an outage

Cause: an instance without a position tried each of four topics every 0.25 s, whatever came back; 88 instances that start in an outage make more than a thousand calls a second, above what the store accepts for the others.

Change: one backoff for all retries. Until the store answers, an instance tries the topic of zone readers, which is small, at most twice a second, and the others with pauses up to 2 s; all go on as soon as the first call succeeds.

A fake directory of the tests lacked defer_removals, so that the followers of servers ended in the outage and made no calls; the older test still passes with them.

--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -108,7 +108,7 @@
             if isinstance(answer, result.Failure):
                 # A read without a wait shows sooner that the store is back.
                 wait_s = 0.0
-                await self._timer.sleep(topics.PAUSE_AFTER_FAILURE_S)
+                await self._topic.wait_after_failure()
             elif answer.unwrap():
                 self._freshness.confirm(self._topic.confirmed_at)
 
@@ -178,7 +178,7 @@
             answer = await self._topic.read()
             self._directory.apply_deferred_removals()
             if isinstance(answer, result.Failure):
-                await self._timer.sleep(topics.PAUSE_AFTER_FAILURE_S)
+                await self._topic.wait_after_failure()
             elif answer.unwrap():
                 self.is_loaded = True
                 await self._topic.wait(self._period_s)
--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -13,6 +13,7 @@
 from arbutuschute import messages
 from arbutuschute.platform import readers
 from arbutuschute.platform import topics
+from arbutuschute.policy import backoff
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
 
@@ -97,18 +98,12 @@
             position = self._topic.position
             answer = await self._topic.read(WAIT_S)
             if isinstance(answer, result.Failure):
-                await self._timer.sleep(self._get_pause_s())
+                await self._topic.wait_after_failure(PAUSE_AFTER_FAILURE_S)
             elif self._topic.position != position:
                 await self._timer.sleep(BATCH_S)
 
-    def _get_pause_s(self):
-        """Return the pause after a failed read; a start waits for one."""
-        if self.is_loaded:
-            return PAUSE_AFTER_FAILURE_S
-        return topics.PAUSE_AFTER_FAILURE_S
-
     async def _write(self):
-        backoff_s = MIN_BACKOFF_S
+        pauses = backoff.Backoff(MIN_BACKOFF_S, MAX_BACKOFF_S)
         while True:
             if not self._queue and self._report is None:
                 self._is_queued.clear()
@@ -118,13 +113,12 @@
             else:
                 answer = await self._write_report()
             if isinstance(answer, result.Success):
-                backoff_s = MIN_BACKOFF_S
+                pauses.reset()
                 continue
             self._log.warning(
                 'observation not written', cause=answer.failure().detail
             )
-            await self._timer.sleep(backoff_s)
-            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+            await self._timer.sleep(pauses.advance())
 
     async def _write_next(self):
         observation = self._queue.popleft()
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -5,11 +5,14 @@
 the newest record counts.
 """
 
+import asyncio
+
 import msgspec
 from returns import result
 
 from arbutuschute import errors
 from arbutuschute.platform import store as store_module
+from arbutuschute.policy import backoff
 from arbutuschute.zones import log_cache as log_cache_module
 
 TOPIC = 'keyed.readers'
@@ -29,6 +32,11 @@
 # A reader that failed is not queried for this long; the store is read instead.
 RETRY_AFTER_S = 0.5
 CHECK_PERIOD_S = 0.5
+# An instance that starts in an outage of the store tries it with the topic of
+# readers, which is small.
+MIN_START_BACKOFF_S = 0.25
+MAX_START_BACKOFF_S = 0.5
+BACKOFF_SPREAD = (0.75, 1.0)
 # How often a reader checks whether another instance has taken over.
 OWN_CHECK_PERIOD_S = 10.0
 
@@ -59,9 +67,9 @@
     """Reads topics through the zone's reader; takes over from a lost one."""
 
     __slots__ = ('_entry', '_failing_since', '_failure_cause', '_is_healthy',
-                 '_is_reader_answering', '_key', '_log', '_log_cache',
-                 '_own_entry', '_random', '_retry_at', '_session',
-                 '_stale_cause', '_store', '_takeover_delay_s',
+                 '_is_known', '_is_reader_answering', '_key', '_log',
+                 '_log_cache', '_own_entry', '_random', '_retry_at',
+                 '_session', '_stale_cause', '_store', '_takeover_delay_s',
                  '_timer')  # fmt: skip
 
     def __init__(self, store, session, timer, log, random, log_cache, zone,
@@ -76,6 +84,8 @@
         self._own_entry = _Entry(address, identity)
         self._takeover_delay_s = compute_takeover_delay_s(link_mbps)
         self._entry = None
+        # Set once the topic of readers has been read.
+        self._is_known = asyncio.Event()
         self._retry_at = float('-inf')
         self._failing_since = timer.now()
         # The state that was logged last; single failures are not logged.
@@ -165,9 +175,32 @@
             self._is_healthy = True
             self._log.info('zone reader found', reader=entry.address)
 
+    async def wait_until_known(self, seconds):
+        """Wait at most ``seconds`` until the zone's reader is known.
+
+        If it is known already, wait all that time.
+        """
+        if self._is_known.is_set():
+            await self._timer.sleep(seconds)
+            return
+        waiting = {
+            asyncio.ensure_future(self._timer.sleep(seconds)),
+            asyncio.ensure_future(self._is_known.wait()),
+        }
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in waiting:
+                task.cancel()
+
     async def run(self):
         """Track the zone's reader and take over from a lost one."""
-        await self._refresh_entry()
+        pauses = backoff.Backoff(MIN_START_BACKOFF_S, MAX_START_BACKOFF_S)
+        while not await self._refresh_entry():
+            await self._timer.sleep(
+                pauses.advance() * self._random.uniform(*BACKOFF_SPREAD)
+            )
+        self._is_known.set()
         while True:
             await self._timer.sleep(CHECK_PERIOD_S)
             if self.is_reader:
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -67,7 +67,7 @@
     async def run(self):
         """Read the existing steps, then advance roll-outs until cancelled."""
         while isinstance(await self._topic.read(), result.Failure):
-            await self._timer.sleep(topics.PAUSE_AFTER_FAILURE_S)
+            await self._topic.wait_after_failure()
         while True:
             await self._topic.wait(
                 PERIOD_S * self._random.uniform(*PERIOD_SPREAD)
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -6,6 +6,7 @@
 from arbutuschute import errors
 from arbutuschute import logs
 from arbutuschute.platform import store as store_module
+from arbutuschute.policy import backoff
 
 PAUSE_AFTER_FAILURE_S = 0.25
 # In an outage of the store the zone's reader retries it after the pause above,
@@ -14,6 +15,11 @@
 # leaving server has to be noticed, then with growing pauses.
 MIN_DIRECT_BACKOFF_S = 0.5
 MAX_DIRECT_BACKOFF_S = 2.0
+# Every instance that starts in an outage retries each of its topics. It does
+# so at once when the topic of zone readers can be read; these pauses matter
+# if that topic alone is unavailable.
+MIN_START_BACKOFF_S = 0.25
+MAX_START_BACKOFF_S = 2.0
 
 
 def _ignore(_):
@@ -30,11 +36,11 @@
     while it is healthy, and otherwise from the store.
     """
 
-    __slots__ = ('_apply', '_direct_backoff_s', '_direct_retry_at',
+    __slots__ = ('_apply', '_direct_backoff', '_direct_retry_at',
                  '_failed_reads', '_failing_since', '_keep_only', '_log',
                  '_read_limits', '_remove', '_store', '_timer', '_topic',
-                 '_was_long_poll', '_zone_reader', 'confirmed_at', 'failing',
-                 'position')  # fmt: skip
+                 '_start_backoff', '_was_long_poll', '_zone_reader',
+                 'confirmed_at', 'failing', 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, zone_reader=None,
@@ -57,7 +63,12 @@
         self._was_long_poll = False
         # No direct read before this time after failures.
         self._direct_retry_at = float('-inf')
-        self._direct_backoff_s = 0.0
+        self._direct_backoff = backoff.Backoff(
+            MIN_DIRECT_BACKOFF_S, MAX_DIRECT_BACKOFF_S
+        )
+        self._start_backoff = backoff.Backoff(
+            MIN_START_BACKOFF_S, MAX_START_BACKOFF_S
+        )
         # When the store last had nothing newer than what has been read.
         self.confirmed_at = float('-inf')
 
@@ -83,6 +94,21 @@
         if not was_long_poll:
             await self._timer.sleep(period_s)
 
+    async def wait_after_failure(self, pause_s=PAUSE_AFTER_FAILURE_S):
+        """Wait after a failed read until the next one is due.
+
+        Without a position, that is as soon as the zone's reader is known, or
+        after a pause that grows. ``pause_s`` is the pause otherwise.
+        """
+        if self.position is not None:
+            await self._timer.sleep(pause_s)
+            return
+        pause_s = self._start_backoff.advance()
+        if self._zone_reader is None:
+            await self._timer.sleep(pause_s)
+        else:
+            await self._zone_reader.wait_until_known(pause_s)
+
     async def _read_newest(self):
         requested_at = self._timer.now()
         answer = await self._store.read_newest(self._topic)
@@ -138,17 +164,14 @@
 
     def _back_off_direct_reads(self, answer):
         """Retry an unavailable store less often if the reader does so, too."""
-        now = self._timer.now()
         if isinstance(answer, result.Success):
-            self._direct_backoff_s = 0.0
+            self._direct_backoff.reset()
             return
         if self._zone_reader is None or not self._zone_reader.follows_reader:
             return
-        self._direct_backoff_s = min(
-            max(2 * self._direct_backoff_s, MIN_DIRECT_BACKOFF_S),
-            MAX_DIRECT_BACKOFF_S,
+        self._direct_retry_at = (
+            self._timer.now() + self._direct_backoff.advance()
         )
-        self._direct_retry_at = now + self._direct_backoff_s
 
     async def _read_store(self, wait_s):
         requested_at = self._timer.now()
@@ -199,6 +222,8 @@
         """Record whether reads fail; log when that changes."""
         failed = isinstance(answer, result.Failure)
         self._failed_reads += failed
+        if not failed:
+            self._start_backoff.reset()
         if failed == self.failing:
             return
         self.failing = failed
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -242,6 +242,9 @@
     def keep_only(self, names):
         pass
 
+    def defer_removals(self, seconds):
+        pass
+
     def apply_deferred_removals(self):
         pass
 
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -38,6 +38,15 @@
 # second, and a peer twice at most.
 MAX_OBSERVATION_CALLS = DOWN_S + 2 * (PEERS - 1)
 REGAINED_WITHIN_S = 0.6
+# A starting instance reads the topic of readers at its pace, and retries each
+# of three others with pauses that grow up to the maximum.
+STARTING_TOPICS = 3
+MAX_STARTING_CALLS = PEERS * (
+    DOWN_S / (readers.MAX_START_BACKOFF_S * readers.BACKOFF_SPREAD[0])
+    + 2
+    + STARTING_TOPICS * (DOWN_S / topics.MAX_START_BACKOFF_S + 4)
+)
+STARTED_WITHIN_S = 0.8
 # The bound for a server that leaves; its topic allows the reader's data the
 # greatest age of those by which a reader is judged.
 DRAIN_S = 4.0
@@ -56,13 +65,15 @@
 class Outage:
     """Whom the store refuses while it is down: all, or one instance."""
 
-    def __init__(self, timer):
+    def __init__(self, timer, down_at, back_at):
         self._timer = timer
+        self._down_at = down_at
+        self._back_at = back_at
         self.only = None
         self.refused = collections.Counter()
 
     def refuses(self, address, topic):
-        if not DOWN_AT <= self._timer.now() < BACK_AT:
+        if not self._down_at <= self._timer.now() < self._back_at:
             return False
         if self.only not in (None, address):
             return False
@@ -107,9 +118,9 @@
 class Zone:
     """All instances of a zone, each with its tasks."""
 
-    def __init__(self, monkeypatch):
+    def __init__(self, monkeypatch, down_at=DOWN_AT, back_at=BACK_AT):
         self.timer = stepping.SteppedTimer()
-        self.outage = Outage(self.timer)
+        self.outage = Outage(self.timer, down_at, back_at)
         self._registry = test_log_cache.RegistryStore()
         self.leases = []
         self.readers = []
@@ -193,3 +204,18 @@
         zone.outage.only = before._own_entry.address
         await zone.timer.run_until(DOWN_AT + REPLACED_WITHIN_S)
         assert [one for one in zone.find_readers() if one is not before]
+
+
+# Guards against instances that start in an outage and retry each topic at a
+# fixed, short pause: together they exceed the store's rate and are charged
+# for each call.
+async def test_instances_that_start_in_an_outage_retry_with_growing_pauses(
+    monkeypatch,
+):
+    zone = Zone(monkeypatch, down_at=0.0, back_at=DOWN_S)
+    async with zone.run():
+        await zone.timer.run_until(DOWN_S)
+        refused = zone.outage.refused
+        assert refused.total() <= MAX_STARTING_CALLS, refused
+        await zone.timer.run_until(DOWN_S + STARTED_WITHIN_S)
+        assert all(lease.is_valid for lease in zone.leases)
