Start from the zone's reader instead of from the store

Cause: an instance without a position read the newest record of every key from the store. Each of the 44 instances of costa-sur fetched some 550 KB over the link between the regions at each start and after the history was dropped.

Change: the zone's reader keeps the newest records and hands them to instances that start; they read the store only if the reader does not have them, or for what came after an old copy. A reader that starts itself is waited for.

--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -29,6 +29,9 @@
 # before they take over.
 WIDE_LINK_MBPS = 100.0
 THIN_LINK_DELAY_S = 1.0
+# A reader that has started itself responds once it has read a topic. Its zone
+# peers wait this long for that before they read the store.
+NEWEST_WAIT_S = 1.0
 # A reader that failed is not queried for this long; the store is read instead.
 RETRY_AFTER_S = 0.5
 CHECK_PERIOD_S = 0.5
@@ -66,8 +69,9 @@
 class ZoneReader:
     """Reads topics through the zone's reader; takes over from a lost one."""
 
-    __slots__ = ('_entry', '_failing_since', '_failure_cause', '_is_healthy',
-                 '_is_known', '_is_reader_answering', '_key', '_log',
+    __slots__ = ('_entry', '_failing_since', '_failure_cause',
+                 '_has_become_known', '_is_healthy',
+                 '_is_reader_answering', '_key', '_log',
                  '_log_cache', '_own_entry', '_random', '_retry_at',
                  '_session', '_stale_cause', '_store', '_takeover_delay_s',
                  '_timer')  # fmt: skip
@@ -84,8 +88,7 @@
         self._own_entry = _Entry(address, identity)
         self._takeover_delay_s = compute_takeover_delay_s(link_mbps)
         self._entry = None
-        # Set once the topic of readers has been read.
-        self._is_known = asyncio.Event()
+        self._has_become_known = asyncio.Event()
         self._retry_at = float('-inf')
         self._failing_since = timer.now()
         # The state that was logged last; single failures are not logged.
@@ -149,6 +152,47 @@
             response.held_s - response.age_s,
         )
 
+    @property
+    def is_known(self):
+        """Whether the topic of readers has been read since the start."""
+        return self._has_become_known.is_set()
+
+    async def read_newest(self, topic):
+        """Return a ``Snapshot`` of the zone's reader; None without one.
+
+        A large record would otherwise cross the link between regions once
+        for each instance that starts.
+        """
+        entry = self._entry
+        if entry is None or self.is_reader:
+            return None
+        if self._timer.now() < self._retry_at:
+            return None
+        answer = await log_cache_module.fetch_newest(
+            self._session, entry.address, topic, NEWEST_WAIT_S
+        )
+        if isinstance(answer, result.Failure):
+            failure = answer.failure()
+            if isinstance(failure, errors.ReaderSilent):
+                self._record_failure(failure.detail)
+            return None
+        response = answer.unwrap()
+        return store_module.Snapshot(
+            tuple(
+                store_module.Record(record.key, record.value, record.offset)
+                for record in response.records
+            ),
+            response.end,
+            response.held_s - response.age_s,
+        )
+
+    def share_newest(self, topic, records, end, confirmed_at):
+        """Keep the newest records for zone peers that start.
+
+        ``records`` maps keys to (offset, value).
+        """
+        self._log_cache.set_newest(topic, records, end, confirmed_at)
+
     def record_read(self, topic, start, records, confirmed_at):
         """Keep for zone peers what was read from the store.
 
@@ -176,16 +220,12 @@
             self._log.info('zone reader found', reader=entry.address)
 
     async def wait_until_known(self, seconds):
-        """Wait at most ``seconds`` until the zone's reader is known.
-
-        If it is known already, wait all that time.
-        """
-        if self._is_known.is_set():
-            await self._timer.sleep(seconds)
+        """Wait at most ``seconds`` until the zone's reader is known."""
+        if self.is_known:
             return
         waiting = {
             asyncio.ensure_future(self._timer.sleep(seconds)),
-            asyncio.ensure_future(self._is_known.wait()),
+            asyncio.ensure_future(self._has_become_known.wait()),
         }
         try:
             await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
@@ -200,7 +240,7 @@
             await self._timer.sleep(
                 pauses.advance() * self._random.uniform(*BACKOFF_SPREAD)
             )
-        self._is_known.set()
+        self._has_become_known.set()
         while True:
             await self._timer.sleep(CHECK_PERIOD_S)
             if self.is_reader:
@@ -243,9 +283,8 @@
         answer = await self._store.read_newest(TOPIC)
         if isinstance(answer, result.Failure):
             return False
-        records, _ = answer.unwrap()
         found = None
-        for record in records:
+        for record in answer.unwrap().records:
             if record.key == self._key and record.value is not None:
                 found = self._decode(record)
         if found != self._entry:
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -66,8 +66,9 @@
 
     async def run(self):
         """Read the existing steps, then advance roll-outs until cancelled."""
-        while isinstance(await self._topic.read(), result.Failure):
-            await self._topic.wait_after_failure()
+        while not (answer := await self._topic.read()).value_or(False):
+            if isinstance(answer, result.Failure):
+                await self._topic.wait_after_failure()
         while True:
             await self._topic.wait(
                 PERIOD_S * self._random.uniform(*PERIOD_SPREAD)
@@ -174,7 +175,7 @@
         answer = await self._store.read_newest(configuration.STATUS_TOPIC)
         if isinstance(answer, result.Failure):
             return
-        records, _ = answer.unwrap()
+        records = answer.unwrap().records
         expected = configuration.encode_status(rollout.order, rollout.phase)
         key = configuration.make_status_key(rollout.order.service)
         if any(r.key == key and r.value == expected for r in records):
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -48,6 +48,17 @@
         return self.start + len(self.records)
 
 
+class Snapshot(msgspec.Struct, frozen=True):
+    """The newest record of each key; new ones follow from ``end`` on.
+
+    ``current_after_s`` is that of a ``Page``.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+    current_after_s: float | None = None
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str
@@ -86,7 +97,7 @@
         return answer.bind(lambda body: _decode_page(body, start))
 
     async def read_newest(self, topic):
-        """Return each key's newest record, and the offset to continue from.
+        """Return a ``Snapshot`` of a topic's first partition.
 
         Pages are not a snapshot: ``end`` is that of the first page, so that
         changes made between two pages are read again from there.
@@ -106,7 +117,7 @@
             end = page.end if end is None else end
             records.extend(_decode_items(page.items))
             if not page.more or not page.items:
-                return result.Success((records, end))
+                return result.Success(Snapshot(tuple(records), end))
             after = page.items[-1].key
 
     async def put(self, topic, key, value, at=None):
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -20,6 +20,8 @@
 # if that topic alone is unavailable.
 MIN_START_BACKOFF_S = 0.25
 MAX_START_BACKOFF_S = 2.0
+# A slow store names the zone's readers within this time.
+KNOWN_WAIT_S = 0.5
 
 
 def _ignore(_):
@@ -38,9 +40,10 @@
 
     __slots__ = ('_apply', '_direct_backoff', '_direct_retry_at',
                  '_failed_reads', '_failing_since', '_keep_only', '_log',
-                 '_read_limits', '_remove', '_store', '_timer', '_topic',
-                 '_start_backoff', '_was_long_poll', '_zone_reader',
-                 'confirmed_at', 'failing', 'position')  # fmt: skip
+                 '_newest', '_read_limits', '_remove', '_start_backoff',
+                 '_store', '_timer', '_topic', '_was_long_poll',
+                 '_zone_reader', 'confirmed_at', 'failing',
+                 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, zone_reader=None,
@@ -55,6 +58,8 @@
         self._zone_reader = zone_reader
         self._read_limits = read_limits
         self.position = None
+        # Each key's newest (offset, value).
+        self._newest = {}
         self.failing = False
         # Failed reads in a row, and when the first one failed.
         self._failed_reads = 0
@@ -83,6 +88,10 @@
         else:
             answer = await self._read_next(wait_s, is_direct)
         self._record_result(answer)
+        if self._zone_reader is not None and self.position is not None:
+            self._zone_reader.share_newest(
+                self._topic, self._newest, self.position, self.confirmed_at
+            )
         return answer
 
     async def wait(self, period_s):
@@ -100,30 +109,63 @@
         Without a position, that is as soon as the zone's reader is known, or
         after a pause that grows. ``pause_s`` is the pause otherwise.
         """
-        if self.position is not None:
-            await self._timer.sleep(pause_s)
-            return
-        pause_s = self._start_backoff.advance()
-        if self._zone_reader is None:
-            await self._timer.sleep(pause_s)
-        else:
-            await self._zone_reader.wait_until_known(pause_s)
+        if self.position is None:
+            pause_s = self._start_backoff.advance()
+            if (
+                self._zone_reader is not None
+                and not self._zone_reader.is_known
+            ):
+                await self._zone_reader.wait_until_known(pause_s)
+                return
+        await self._timer.sleep(pause_s)
 
     async def _read_newest(self):
+        """Read the newest record of each key, from the zone's reader if any.
+
+        What the reader has may be old: then new records are to be read next.
+        """
         requested_at = self._timer.now()
-        answer = await self._store.read_newest(self._topic)
-        if isinstance(answer, result.Failure):
-            return answer
-        records, end = answer.unwrap()
-        for record in sorted(records, key=lambda record: record.offset):
+        snapshot = await self._fetch_snapshot()
+        source = 'zone reader'
+        if snapshot is None:
+            source = 'store'
+            requested_at = self._timer.now()
+            answer = await self._store.read_newest(self._topic)
+            if isinstance(answer, result.Failure):
+                return answer
+            snapshot = answer.unwrap()
+            self._share_records(snapshot.end, (), requested_at)
+        self.confirmed_at = requested_at + (snapshot.current_after_s or 0.0)
+        self._apply_snapshot(snapshot)
+        age_s = self._timer.now() - self.confirmed_at
+        self._log.info(
+            'topic read',
+            topic=self._topic,
+            source=source,
+            records=len(snapshot.records),
+            end=snapshot.end,
+            age_ms=logs.round_to_ms(age_s),
+        )
+        limits = self._read_limits
+        return result.Success(limits is None or age_s <= limits.max_age_s)
+
+    async def _fetch_snapshot(self):
+        """Return the zone reader's ``Snapshot``; None to read the store."""
+        if self._zone_reader is None:
+            return None
+        await self._zone_reader.wait_until_known(KNOWN_WAIT_S)
+        return await self._zone_reader.read_newest(self._topic)
+
+    def _apply_snapshot(self, snapshot):
+        self._newest = {}
+        for record in sorted(snapshot.records, key=lambda r: r.offset):
             self._apply_record(record)
         # Records that the pages lack are read next, from ``end`` on.
-        self._keep_only({r.key for r in records if r.value is not None})
-        self.position = end
+        self._keep_only(
+            {r.key for r in snapshot.records if r.value is not None}
+        )
+        self.position = snapshot.end
         self._was_long_poll = False
-        self.confirmed_at = requested_at
-        self._share_records(end, (), requested_at)
-        return result.Success(True)
 
     async def _read_next(self, wait_s, is_direct):
         requested_at = self._timer.now()
@@ -206,8 +248,10 @@
 
     def _apply_record(self, record):
         if record.value is None:
+            self._newest.pop(record.key, None)
             self._remove(record.key)
             return
+        self._newest[record.key] = record.offset, record.value
         try:
             self._apply(record)
         except msgspec.DecodeError as error:
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -33,6 +33,7 @@
 # No follower requests a longer wait than its own polling period.
 MAX_WAIT_S = 30.0
 PATH = '/tail'
+NEWEST_PATH = '/newest'
 
 
 class CacheResponse(msgspec.Struct, frozen=True):
@@ -52,7 +53,29 @@
     compressed: tuple[int, ...] = ()
 
 
+class KeyedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The newest record of one key."""
+
+    key: str
+    offset: int
+    value: bytes
+    is_compressed: bool = False
+
+
+class NewestResponse(msgspec.Struct, frozen=True):
+    """The newest record of each key; new ones follow from ``end`` on.
+
+    The ages are those of a ``CacheResponse``.
+    """
+
+    end: int
+    age_s: float
+    held_s: float
+    records: tuple[KeyedRecord, ...]
+
+
 _decoder = msgspec.msgpack.Decoder(CacheResponse)
+_newest_decoder = msgspec.msgpack.Decoder(NewestResponse)
 
 
 class TopicCache:
@@ -140,15 +163,77 @@
             return
 
 
+class _Newest:
+    """The newest records of one topic, by key."""
+
+    __slots__ = ('confirmed_at', 'end', 'records')
+
+    def __init__(self, records, end, confirmed_at):
+        self.records = records
+        self.end = end
+        self.confirmed_at = confirmed_at
+
+
 class LogCache:
     """The caches of all topics that this instance reads, for zone peers."""
 
-    __slots__ = ('_by_topic', '_now')
+    __slots__ = ('_by_topic', '_compressed', '_newest', '_newest_added',
+                 '_now')  # fmt: skip
 
     def __init__(self, now):
         self._by_topic = {}
+        # Compressed copies of large records, by topic and key.
+        self._compressed = {}
+        self._newest = {}
+        self._newest_added = asyncio.Event()
         self._now = now
 
+    def set_newest(self, topic, records, end, confirmed_at):
+        """Share a topic's newest records as of ``end``.
+
+        ``records`` maps keys to (offset, value) and may change until the
+        next call.
+        """
+        is_first = topic not in self._newest
+        self._newest[topic] = _Newest(records, end, confirmed_at)
+        if is_first:
+            added, self._newest_added = self._newest_added, asyncio.Event()
+            added.set()
+
+    async def get_newest(self, topic, wait_s):
+        """Return a ``NewestResponse``, None if the peer must read the store.
+
+        Wait at most ``wait_s`` until this instance has read the topic.
+        """
+        received_at = self._now()
+        try:
+            async with asyncio.timeout(wait_s):
+                while topic not in self._newest:
+                    await self._newest_added.wait()
+        except TimeoutError:
+            return None
+        found = self._newest[topic]
+        records = tuple(
+            self._pack(topic, key, offset, value)
+            for key, (offset, value) in found.records.items()
+        )
+        if sum(len(record.value) for record in records) > MAX_RESPONSE_BYTES:
+            return None
+        now = self._now()
+        return NewestResponse(
+            found.end, now - found.confirmed_at, now - received_at, records
+        )
+
+    def _pack(self, topic, key, offset, value):
+        """Return a ``KeyedRecord``; a large value is compressed once."""
+        if len(value) < MIN_COMPRESSED_BYTES:
+            return KeyedRecord(key, offset, value)
+        packed = self._compressed.get((topic, key))
+        if packed is None or packed.offset != offset:
+            packed = KeyedRecord(key, offset, zlib.compress(value), True)
+            self._compressed[topic, key] = packed
+        return packed
+
     def extend(self, topic, start, records, confirmed_at):
         """Add records read from the store."""
         cache = self._by_topic.get(topic)
@@ -186,7 +271,21 @@
 
     async def answer(self, request):
         """Respond to a zone peer's HTTP request."""
-        query = request.query
+        if request.path == NEWEST_PATH:
+            return await self._answer_newest(request.query)
+        return await self._answer_tail(request.query)
+
+    async def _answer_newest(self, query):
+        try:
+            topic = query['topic']
+            wait_s = float(query['wait_s'])
+        except (KeyError, ValueError):
+            return web.Response(status=400)
+        if not 0.0 <= wait_s <= MAX_WAIT_S:
+            return web.Response(status=400)
+        return _make_response(await self.get_newest(topic, wait_s))
+
+    async def _answer_tail(self, query):
         try:
             topic = query['topic']
             start = int(query['start'])
@@ -196,10 +295,15 @@
             return web.Response(status=400)
         if not 0.0 <= wait_s <= MAX_WAIT_S:
             return web.Response(status=400)
-        found = await self.get_records(topic, start, wait_s, compresses)
-        if found is None:
-            return web.Response(status=404)
-        return web.Response(body=msgspec.msgpack.encode(found))
+        return _make_response(
+            await self.get_records(topic, start, wait_s, compresses)
+        )
+
+
+def _make_response(found):
+    if found is None:
+        return web.Response(status=404)
+    return web.Response(body=msgspec.msgpack.encode(found))
 
 
 async def fetch(session, address, topic, start, wait_s):
@@ -215,6 +319,26 @@
         'wait_s': f'{wait_s:.3f}',
         'compresses': '1',
     }
+    return await _get(
+        session, address, PATH, query, wait_s,
+        lambda raw: _expand(_decoder.decode(raw)),
+    )  # fmt: skip
+
+
+async def fetch_newest(session, address, topic, wait_s):
+    """Request the newest record of each key from the peer at ``address``.
+
+    Return ``Result`` with a ``NewestResponse`` or a failure of ``fetch``.
+    """
+    return await _get(
+        session, address, NEWEST_PATH,
+        {'topic': topic, 'wait_s': f'{wait_s:.3f}'}, wait_s, _expand_newest,
+    )  # fmt: skip
+
+
+async def _get(session, address, path, query, wait_s, decode):
+    """Return ``Result`` with the decoded response of a peer."""
+    topic = query['topic']
     timeout = aiohttp.ClientTimeout(
         total=wait_s + TRANSFER_TIMEOUT_S,
         sock_connect=RESPONSE_TIMEOUT_S,
@@ -222,11 +346,11 @@
     )
     try:
         async with session.get(
-            f'http://{address}{PATH}', params=query, timeout=timeout
+            f'http://{address}{path}', params=query, timeout=timeout
         ) as response:
             raw = await response.read()
             if response.status == 200:
-                return result.Success(_expand(_decoder.decode(raw)))
+                return result.Success(decode(raw))
     except (
         aiohttp.ClientError,
         asyncio.TimeoutError,
@@ -244,12 +368,27 @@
         return response
     records = list(response.records)
     for position in response.compressed:
-        expander = zlib.decompressobj()
-        records[position] = expander.decompress(
-            records[position], MAX_RECORD_BYTES
-        )
-        if not expander.eof:
-            raise msgspec.DecodeError('record too large')
+        records[position] = _decompress(records[position])
     return msgspec.structs.replace(
         response, records=tuple(records), compressed=()
     )
+
+
+def _expand_newest(raw):
+    """Return the decoded ``NewestResponse`` without compressed records."""
+    response = _newest_decoder.decode(raw)
+    records = tuple(
+        KeyedRecord(record.key, record.offset, _decompress(record.value))
+        if record.is_compressed
+        else record
+        for record in response.records
+    )
+    return msgspec.structs.replace(response, records=records)
+
+
+def _decompress(raw):
+    expander = zlib.decompressobj()
+    expanded = expander.decompress(raw, MAX_RECORD_BYTES)
+    if not expander.eof:
+        raise msgspec.DecodeError('record too large')
+    return expanded
--- a/tests/outer/calls.py
+++ b/tests/outer/calls.py
@@ -103,7 +103,8 @@
         b'"more":false,"end":5}'
     )
     store = store_module.Store(session, 'h')
-    records, end = (await store.read_newest('keyed.op')).unwrap()
+    snapshot = (await store.read_newest('keyed.op')).unwrap()
+    records, end = snapshot.records, snapshot.end
     found['store newest'] = [
         *session.sent,
         [[r.key, r.value.decode(), r.offset] for r in records],
--- a/tests/outer/shapes.py
+++ b/tests/outer/shapes.py
@@ -39,6 +39,7 @@
     'peers bill': bills.Bill,
     'peers instance': instances.Instance,
     'peers /tail': log_cache.CacheResponse,
+    'peers /newest': log_cache.NewestResponse,
     'log configuration': changes.AnyChange,
     'log configuration batch': changes.Batch,
     'log configuration state': fold.Configuration,
--- a/tests/outer/wire.py
+++ b/tests/outer/wire.py
@@ -151,6 +151,9 @@
         for m in list_messages()
     ]
     found = log_cache.CacheResponse(3, 5, 0.25, 0.5, (b'a', b'bc'))
+    newest = log_cache.NewestResponse(
+        5, 0.25, 0.5, (log_cache.KeyedRecord('k', 4, b'v'),)
+    )
     return [
         *cases,
         ('bill', BILL, bills.pack, bills.unpack),
@@ -159,6 +162,10 @@
             'answer /tail', found, msgspec.msgpack.encode,
             log_cache._decoder.decode,
         ),
+        (
+            'answer /newest', newest, msgspec.msgpack.encode,
+            log_cache._newest_decoder.decode,
+        ),
     ]  # fmt: skip
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -130,6 +130,7 @@
         items = [item for item in items if item['key'] > after]
         page, rest = items[:3], items[3:]
         end = len(self.topics.get(topic, ()))
+        self.bytes_read += sum(len(item['value']) for item in page)
         return web.json_response(
             {'items': page, 'more': bool(rest), 'end': end}
         )
--- a/tests/platform/test_zone_peers.py
+++ b/tests/platform/test_zone_peers.py
@@ -97,6 +97,12 @@
     query = {'topic': 'keyed.op', 'start': '0', 'wait_s': 'nan'}
     async with world.http.get(base, params=query) as response:
         assert response.status == 400
+    newest = base.replace('/tail', '/newest')
+    async with world.http.get(newest, params=query) as response:
+        assert response.status == 400
+    query = {'topic': 'another', 'wait_s': '0'}
+    async with world.http.get(newest, params=query) as response:
+        assert response.status == 404
     query = {'topic': 'another', 'start': '0', 'wait_s': '0'}
     async with world.http.get(base, params=query) as response:
         assert response.status == 404
@@ -119,3 +125,34 @@
             )
         size = len(world.store.find('keyed.op', 'config'))
         assert world.store.bytes_read - before < 1.5 * size
+
+
+# Guards against a start of many instances that reads a large configuration
+# from the store once for each: those copies fill the link between regions.
+async def test_instance_that_starts_reads_its_zone_reader(world):
+    await world.start()
+    await conftest.wait_for(lambda: world.instance.reader.is_reader)
+    added = [conftest.make_route(f'r{n}', 'idempotent') for n in
+             range(ROUTES)]  # fmt: skip
+    world.store.put(
+        'keyed.op', 'config', conftest.make_configuration(2, added)
+    )
+    await conftest.wait_for(
+        lambda: world.instance.environment.table.version == 2
+    )
+    size = len(world.store.find('keyed.op', 'config'))
+    before = world.store.bytes_read
+    async with start_peer(world) as peer:
+        assert peer.environment.table.version == 2
+        assert world.store.bytes_read - before < 0.1 * size
+
+
+async def test_instance_starts_without_its_zone_reader(world):
+    await world.start()
+    await conftest.wait_for(lambda: world.instance.reader.is_reader)
+    world.running.cancel()
+    await asyncio.gather(world.running, return_exceptions=True)
+    await world.instance.close()
+    async with start_peer(world) as peer:
+        assert await is_served(world, '/again/x')
+        await conftest.wait_for(lambda: peer.reader.is_reader)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -78,7 +78,9 @@
         for offset, raw in enumerate(seen):
             record = store.split_keyed(raw, offset)
             newest[record.key] = record
-        return result.Success((list(newest.values()), len(seen)))
+        return result.Success(
+            store.Snapshot(tuple(newest.values()), len(seen))
+        )
 
     async def read(self, topic, start, wait_s=0.0):
         if start < self.first:
@@ -190,7 +192,16 @@
     """A zone reader that responds after a long poll, or is unavailable."""
 
     def __init__(self):
-        self.is_healthy = self.follows_reader = True
+        self.is_healthy = self.follows_reader = self.is_known = True
+
+    async def wait_until_known(self, seconds):
+        pass
+
+    async def read_newest(self, topic):
+        return None
+
+    def share_newest(self, topic, records, end, confirmed_at):
+        pass
 
     async def read(self, topic, start, read_limits, confirmed_at):
         if not self.is_healthy:
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -73,6 +73,66 @@
     assert (await cache.get_records(TOPIC, 9000, 0.0)).records == (b'a',)
 
 
+async def test_newest_records_are_shared_once_the_topic_has_been_read():
+    timer, cache = make_cache(time=10.0)
+    response = asyncio.ensure_future(cache.get_newest(TOPIC, 30.0))
+    await asyncio.sleep(0)
+    cache.set_newest('another', {}, 3, 9.0)
+    cache.set_newest(TOPIC, {'k': (4, b'v')}, 7, 9.5)
+    found = await response
+    assert (found.end, found.age_s) == (7, 0.5)
+    assert found.records == (log_cache.KeyedRecord('k', 4, b'v'),)
+    assert await cache.get_newest('unread', 0.0) is None
+
+
+async def test_newest_records_over_the_limit_are_left_to_the_store():
+    _, cache = make_cache()
+    large = random.Random(1).randbytes(log_cache.MAX_RESPONSE_BYTES + 1)
+    cache.set_newest(TOPIC, {'k': (4, large)}, 7, 0.0)
+    assert await cache.get_newest(TOPIC, 0.0) is None
+
+
+# Guards against a starting instance that takes the records of a reader that
+# was cut off for current ones.
+def test_old_newest_records_of_a_reader_are_read_on(monkeypatch):
+    timer = test_followers.Timer()
+    timer.time = 20.0
+    lease = freshness.Freshness(timer.now, test_followers.LEASE_S)
+    tables = []
+    records = [
+        (0.0, test_followers.make_table(1, ['k'])),
+        (15.0, test_followers.make_table(2, [])),
+    ]
+    scripted = test_followers.ScriptedStore(
+        timer, itertools.repeat((0.01, 0.5, False), 2), records
+    )
+    follower = followers.OperatorFollower(
+        scripted, timer, test_followers.Log(), lease, tables.append,
+        lambda _: None, make_zone_reader(timer, scripted),
+    )  # fmt: skip
+    old = store.split_keyed(records[0][1], 0)
+
+    async def fetch_newest(*_):
+        return result.Success(
+            log_cache.NewestResponse(
+                1,
+                10.0,
+                0.0,
+                (log_cache.KeyedRecord(old.key, 0, old.value),),
+            )
+        )
+
+    async def fetch(*_):
+        assert not lease.is_valid
+        return result.Failure(errors.ReaderSilent('peer:1', 'cut off'))
+
+    monkeypatch.setattr(log_cache, 'fetch_newest', fetch_newest)
+    monkeypatch.setattr(log_cache, 'fetch', fetch)
+    test_followers.run_to_end(follower)
+    assert [table.version for table in tables] == [1, 2]
+    assert lease.confirmed_at >= 20.0
+
+
 @given(
     cuts=strategies.lists(strategies.integers(1, 30), max_size=30),
     starts=strategies.lists(strategies.integers(0, 400), max_size=20),
@@ -131,13 +191,20 @@
         log_cache.LogCache(timer.now), 'a', 'own:1', 'own/1',
     )  # fmt: skip
     made._entry = readers._Entry('peer:1', 'peer/1')
+    made._has_become_known.set()
     return made
 
 
+async def fetch_no_newest(session, address, topic, wait_s):
+    """Respond as a reader that has no newest records."""
+    return result.Failure(errors.StoreGap(topic))
+
+
 def run_with_peer(follower, peer):
     """Run a follower with a scripted peer until the script ends."""
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(log_cache, 'fetch', peer.fetch)
+        patch.setattr(log_cache, 'fetch_newest', fetch_no_newest)
         test_followers.run_to_end(follower)
 
 
@@ -317,7 +384,9 @@
         self.writes = 0
 
     async def read_newest(self, topic):
-        return result.Success((list(self.records.values()), self.writes))
+        return result.Success(
+            store.Snapshot(tuple(self.records.values()), self.writes)
+        )
 
     async def put(self, topic, key, value, at=None):
         self.records[key] = store.Record(key, value, self.writes)
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -103,7 +103,7 @@
         return answer
 
     async def read_newest(self, topic):
-        answer = await self._answer(topic, ([], 0))
+        answer = await self._answer(topic, store.Snapshot((), 0))
         if isinstance(answer, result.Failure) or topic != readers.TOPIC:
             return answer
         return await self.registry.read_newest(topic)
@@ -130,6 +130,7 @@
         for number in range(PEERS):
             self._add(f'peer-{number}:1', random.Random(rng.random()))
         monkeypatch.setattr(log_cache, 'fetch', self._fetch)
+        monkeypatch.setattr(log_cache, 'fetch_newest', self._fetch_newest)
 
     def _add(self, address, rng):
         timer, log = self.timer, test_followers.Log()
@@ -164,6 +165,13 @@
             return result.Failure(errors.StoreGap(topic))
         return result.Success(found)
 
+    async def _fetch_newest(self, session, address, topic, wait_s):
+        await self.timer.sleep(0.001)
+        found = await self._caches[address].get_newest(topic, 0.0)
+        if found is None:
+            return result.Failure(errors.StoreGap(topic))
+        return result.Success(found)
+
     def find_readers(self):
         """Return the instances that read the store for the zone."""
         return [one for one in self.readers if one.is_reader]
--- a/tests/test_rollout_writers.py
+++ b/tests/test_rollout_writers.py
@@ -59,7 +59,9 @@
         for offset, raw in enumerate(records):
             record = store.split_keyed(raw, offset)
             newest[record.key] = record
-        return result.Success((list(newest.values()), len(records)))
+        return result.Success(
+            store.Snapshot(tuple(newest.values()), len(records))
+        )
 
     async def put(self, topic, key, value, at=None):
         await SchedulerTurn()
