Bind a position in the store to its era

Cause: offsets of two pasts of the log were compared. The follower of the operator's records passed over a configuration whose offset was not above the last one in force; a topic that had grown past the position again was read on from the middle; the cache of a zone was keyed by offset alone.

A position of another era is dropped and the topic read anew, from the zone's reader if it has the new era. A configuration is compared by its version: a lower one of the store never replaces the one in force, and confirms nothing, since the store may lack a newer one, too. The reader of a zone writes its entry again. Lines 'store restored', 'position of another era' and 'configuration of the store is older'.

A position that is gone is read anew at once, without the pause of a failure.

--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -253,6 +253,10 @@
 StoreGap = define(
     'StoreGap', 'store-gap', 'Records of the store are gone', 503, 'topic'
 )
+StoreRestored = define(
+    'StoreRestored', 'store-restored',
+    'The store was restored from an older copy', 503, 'era',
+)  # fmt: skip
 ReaderSilent = define(
     'ReaderSilent', 'reader-silent', "The zone's reader did not answer", 503,
     'reader', 'reason',
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -17,6 +17,7 @@
 from arbutuschute.machines import servers
 from arbutuschute import metrics
 from arbutuschute.platform import engine
+from arbutuschute.platform import eras
 from arbutuschute.platform import followers
 from arbutuschute.platform import ingress
 from arbutuschute.platform import observations as observation_topic
@@ -103,14 +104,15 @@
 
     def _build_followers(self, identity):
         environment = self.environment
+        era = eras.Era(self._log)
         client = store.Store(
-            self._sessions[1], self._settings.store, environment.metrics
+            self._sessions[1], self._settings.store, environment.metrics, era
         )
         settings = self._settings
         self.reader = readers.ZoneReader(
             client, self._sessions[1], self._timer, self._log,
             environment.random, self._log_cache, settings.zone,
-            str(settings.zone_peers), identity, settings.link_mbps,
+            str(settings.zone_peers), identity, settings.link_mbps, era,
         )  # fmt: skip
         self.operator = followers.OperatorFollower(
             client, self._timer, self._log, environment.freshness,
@@ -136,11 +138,9 @@
             client, self._timer, self._log, environment.random, identity,
             environment.rollouts, environment.directory, self.reader,
         )  # fmt: skip
+        era.changes.subscribe(lambda _: self.reader.handle_restore())
 
     def _apply_table(self, table):
-        known = self.environment.table
-        if known is not None and table.version < known.version:
-            return
         self.environment.table = table
         self._log.info('configuration', version=table.version)
 
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -29,14 +29,16 @@
 DIRECT_READ_S = 0.2
 # Entries that lapsed in an outage of the store are back within this time.
 RETURN_AFTER_OUTAGE_S = 2.0
+# Below every version of a configuration.
+NO_VERSION = float('-inf')
 
 
 class OperatorFollower:
     """Follows the operator's records and renews the configuration lease."""
 
     __slots__ = ('_apply_order', '_apply_table', '_freshness', '_log',
-                 '_offset', '_pending_tables', '_timer', '_topic',
-                 '_wait_s')  # fmt: skip
+                 '_offset', '_pending_tables', '_store_version', '_timer',
+                 '_topic', '_version', '_wait_s')  # fmt: skip
 
     def __init__(self, store, timer, log, freshness, apply_table,
                  apply_order, zone_reader=None):  # fmt: skip
@@ -47,6 +49,8 @@
         self._apply_order = apply_order
         self._offset = -1
         self._pending_tables = []
+        # The highest version that was applied, and that of the store.
+        self._version = self._store_version = NO_VERSION
         self._wait_s = min(
             MAX_OPERATOR_WAIT_S, WAIT_SHARE_OF_LEASE * freshness.lease_s
         )
@@ -63,8 +67,25 @@
         self._topic = topics.TopicFollower(
             store, timer, configuration.TOPIC, log, self._apply,
             zone_reader=zone_reader, read_limits=read_limits,
+            begin_era=self._begin_era,
         )  # fmt: skip
 
+    def _begin_era(self):
+        """Compare offsets with those of the new era only.
+
+        The operator writes again what the store has lost.
+        """
+        self._offset = -1
+        self._store_version = NO_VERSION
+
+    @property
+    def _is_store_behind(self):
+        """Whether the store lacks the configuration that is in force.
+
+        It may lack a newer one, too, so it confirms nothing.
+        """
+        return self._store_version < self._version
+
     @property
     def position(self):
         """The offset of the next record, None before the first read."""
@@ -91,8 +112,19 @@
                     'record malformed', key=record.key, cause=str(error)
                 )
                 continue
-            self._apply_table(table)
             self._offset = record.offset
+            self._store_version = table.version
+            if self._is_store_behind:
+                self._log.warning(
+                    'configuration of the store is older',
+                    version=table.version,
+                    in_force=self._version,
+                    offset=record.offset,
+                    era=self._topic.era,
+                )
+                return
+            self._version = table.version
+            self._apply_table(table)
             return
 
     async def run(self):
@@ -109,7 +141,7 @@
                 # A read without a wait shows sooner that the store is back.
                 wait_s = 0.0
                 await self._topic.wait_after_failure()
-            elif answer.unwrap():
+            elif answer.unwrap() and not self._is_store_behind:
                 self._freshness.confirm(self._topic.confirmed_at)
 
 
@@ -140,8 +172,13 @@
         self._topic = topics.TopicFollower(
             store, timer, directory_records.TOPIC, log, self._apply,
             self._remove, directory.keep_only, zone_reader, read_limits,
+            self._begin_era,
         )  # fmt: skip
 
+    def _begin_era(self):
+        """Give servers whose entries the store has lost time to renew them."""
+        self._directory.defer_removals(RETURN_AFTER_OUTAGE_S)
+
     @property
     def is_failing(self):
         """Whether the last read failed."""
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -69,26 +69,30 @@
 class ZoneReader:
     """Reads topics through the zone's reader; takes over from a lost one."""
 
-    __slots__ = ('_entry', '_failing_since', '_failure_cause',
-                 '_has_become_known', '_is_healthy',
-                 '_is_reader_answering', '_key', '_log',
-                 '_log_cache', '_own_entry', '_random', '_retry_at',
-                 '_session', '_stale_cause', '_store', '_takeover_delay_s',
+    __slots__ = ('_entry', '_era', '_failing_since', '_failure_cause',
+                 '_has_become_known', '_is_entry_doubtful', '_is_healthy',
+                 '_is_reader_answering', '_key', '_log', '_log_cache',
+                 '_own_entry', '_random', '_retry_at', '_session',
+                 '_stale_cause', '_store', '_takeover_delay_s',
                  '_timer')  # fmt: skip
 
     def __init__(self, store, session, timer, log, random, log_cache, zone,
-                 address, identity, link_mbps=WIDE_LINK_MBPS):  # fmt: skip
+                 address, identity, link_mbps=WIDE_LINK_MBPS,
+                 era=None):  # fmt: skip
         self._store = store
         self._session = session
         self._timer = timer
         self._log = log
         self._random = random
         self._log_cache = log_cache
+        self._era = era
         self._key = f'reader/{zone}'
         self._own_entry = _Entry(address, identity)
         self._takeover_delay_s = compute_takeover_delay_s(link_mbps)
         self._entry = None
         self._has_become_known = asyncio.Event()
+        # Whether the store may have lost this instance's entry.
+        self._is_entry_doubtful = False
         self._retry_at = float('-inf')
         self._failing_since = timer.now()
         # The state that was logged last; single failures are not logged.
@@ -110,9 +114,12 @@
         """Whether another instance is the reader and responds to this one."""
         return self._is_reader_answering and not self.is_reader
 
-    async def read(self, topic, start, read_limits, confirmed_at):
+    async def read(self, topic, start, read_limits, confirmed_at, era=0):
         """Return a ``Page`` from the zone's reader; None to read the store.
 
+        If the reader has no records from ``start`` on in this era, return a
+        ``Snapshot`` of what it has.
+
         ``confirmed_at`` is when the caller last had all records. The reader
         may be silent or cut off from the store, so it may hold the request
         only until that confirmation is ``max_age_s`` old.
@@ -129,15 +136,19 @@
             topic,
             start,
             min(read_limits.wait_s, max(fresh_for_s, 0.0)),
+            era,
         )
         if isinstance(answer, result.Failure):
             failure = answer.failure()
-            if isinstance(failure, errors.ReaderSilent):
-                self._is_reader_answering = False
-                self._record_failure(failure.detail)
+            if not isinstance(failure, errors.ReaderSilent):
+                return await self.read_newest(topic, wait_s=0.0)
+            self._is_reader_answering = False
+            self._record_failure(failure.detail)
             return None
         self._is_reader_answering = True
         response = answer.unwrap()
+        if response.era != era:
+            return None  # A build that doesn't know of eras.
         if response.age_s > read_limits.max_age_s:
             self._stale_cause = f'{topic} is {response.age_s:.2f} s old'
             return None
@@ -150,6 +161,7 @@
             start,
             response.records,
             response.held_s - response.age_s,
+            response.era,
         )
 
     @property
@@ -157,11 +169,12 @@
         """Whether the topic of readers has been read since the start."""
         return self._has_become_known.is_set()
 
-    async def read_newest(self, topic):
+    async def read_newest(self, topic, wait_s=NEWEST_WAIT_S):
         """Return a ``Snapshot`` of the zone's reader; None without one.
 
-        A large record would otherwise cross the link between regions once
-        for each instance that starts.
+        The reader may take ``wait_s`` to read the topic itself. A large
+        record would otherwise cross the link between regions once for each
+        instance that starts.
         """
         entry = self._entry
         if entry is None or self.is_reader:
@@ -169,7 +182,7 @@
         if self._timer.now() < self._retry_at:
             return None
         answer = await log_cache_module.fetch_newest(
-            self._session, entry.address, topic, NEWEST_WAIT_S
+            self._session, entry.address, topic, wait_s
         )
         if isinstance(answer, result.Failure):
             failure = answer.failure()
@@ -177,6 +190,8 @@
                 self._record_failure(failure.detail)
             return None
         response = answer.unwrap()
+        if self._era is not None:
+            self._era.observe(response.era)
         return store_module.Snapshot(
             tuple(
                 store_module.Record(record.key, record.value, record.offset)
@@ -184,16 +199,17 @@
             ),
             response.end,
             response.held_s - response.age_s,
+            response.era,
         )
 
-    def share_newest(self, topic, records, end, confirmed_at):
+    def share_newest(self, topic, records, end, confirmed_at, era):
         """Keep the newest records for zone peers that start.
 
         ``records`` maps keys to (offset, value).
         """
-        self._log_cache.set_newest(topic, records, end, confirmed_at)
+        self._log_cache.set_newest(topic, records, end, confirmed_at, era)
 
-    def record_read(self, topic, start, records, confirmed_at):
+    def record_read(self, topic, start, records, confirmed_at, era):
         """Keep for zone peers what was read from the store.
 
         A reader whose response was too old is at fault if the store can be
@@ -203,7 +219,7 @@
         if self._stale_cause is not None:
             self._record_failure(self._stale_cause, 0.0)
             self._stale_cause = None
-        self._log_cache.extend(topic, start, records, confirmed_at)
+        self._log_cache.extend(topic, start, records, confirmed_at, era)
 
     def _record_failure(self, cause, pause_s=RETRY_AFTER_S):
         now = self._timer.now()
@@ -241,13 +257,27 @@
                 pauses.advance() * self._random.uniform(*BACKOFF_SPREAD)
             )
         self._has_become_known.set()
+        checked_at = self._timer.now()
         while True:
             await self._timer.sleep(CHECK_PERIOD_S)
-            if self.is_reader:
-                await self._timer.sleep(OWN_CHECK_PERIOD_S)
+            if not self.is_reader:
+                if self._is_reader_lost():
+                    await self._take_over()
+            elif self._is_entry_doubtful:
+                await self._renew_entry()
+            elif self._timer.now() - checked_at >= OWN_CHECK_PERIOD_S:
+                checked_at = self._timer.now()
                 await self._refresh_entry()
-            elif self._is_reader_lost():
-                await self._take_over()
+
+    def handle_restore(self):
+        """Write this instance's entry anew if the store has lost it."""
+        self._is_entry_doubtful = True
+
+    async def _renew_entry(self):
+        if not await self._refresh_entry():
+            return
+        if self.is_reader or await self._offer():
+            self._is_entry_doubtful = False
 
     def _is_reader_lost(self):
         if self._entry is None:
@@ -270,6 +300,10 @@
             return
         if not self._is_reader_lost():
             return
+        await self._offer()
+
+    async def _offer(self):
+        """Write this instance's entry; return whether that worked."""
         answer = await self._store.put(
             TOPIC, self._key, msgspec.json.encode(self._own_entry)
         )
@@ -277,6 +311,7 @@
         self._log.info('zone reader offered', written=written)
         if written:
             self._entry = self._own_entry
+        return written
 
     async def _refresh_entry(self):
         """Read the entry of the zone's reader; return whether that worked."""
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -16,6 +16,10 @@
 # A large response may take longer on a busy link. Giving it up would only send
 # it once more.
 TRANSFER_TIMEOUT_S = 10.0
+# In every response; rises each time the store is restored from a copy.
+ERA_HEADER = 'Store-Era'
+NO_ERA = 0
+MAX_ERA_DIGITS = 18
 _ENDS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -41,6 +45,7 @@
     start: int
     records: tuple[bytes, ...]
     current_after_s: float | None = None
+    era: int = NO_ERA
 
     @property
     def next(self):
@@ -57,6 +62,14 @@
     records: tuple[Record, ...]
     end: int
     current_after_s: float | None = None
+    era: int = NO_ERA
+
+
+class _Response(msgspec.Struct, frozen=True):
+    """The body of a successful response, and the era in its headers."""
+
+    body: bytes
+    era: int
 
 
 class _Item(msgspec.Struct):
@@ -78,12 +91,13 @@
     means that the requested records have been deleted.
     """
 
-    __slots__ = ('_base', '_metrics', '_session')
+    __slots__ = ('_base', '_era', '_metrics', '_session')
 
-    def __init__(self, session, address, metrics=None):
+    def __init__(self, session, address, metrics=None, era=None):
         self._session = session
         self._base = f'http://{address}'
         self._metrics = metrics or metrics_module.Metrics(None)
+        self._era = era
 
     async def read(self, topic, start, wait_s=0.0):
         """Return a ``Page`` of a topic's first partition from ``start`` on.
@@ -94,7 +108,7 @@
         if wait_s:
             query['waitMs'] = str(int(wait_s * 1000))
         answer = await self._call('GET', '/log-read', query, wait_s=wait_s)
-        return answer.bind(lambda body: _decode_page(body, start))
+        return answer.bind(lambda response: _decode_page(response, start))
 
     async def read_newest(self, topic):
         """Return a ``Snapshot`` of a topic's first partition.
@@ -103,21 +117,27 @@
         changes made between two pages are read again from there.
         """
         records = []
-        end = None
+        end = era = None
         after = None
         while True:
             query = {'topic': topic, 'part': '0'}
             if after is not None:
                 query['after'] = after
             answer = await self._call('GET', '/log-newest', query)
-            answer = answer.bind(_decode_newest)
+            if isinstance(answer, result.Failure):
+                return answer
+            response = answer.unwrap()
+            if era not in (None, response.era):
+                return result.Failure(errors.StoreRestored(response.era))
+            answer = _decode_newest(response)
             if isinstance(answer, result.Failure):
                 return answer
             page = answer.unwrap()
-            end = page.end if end is None else end
+            if end is None:
+                end, era = page.end, response.era
             records.extend(_decode_items(page.items))
             if not page.more or not page.items:
-                return result.Success(Snapshot(tuple(records), end))
+                return result.Success(Snapshot(tuple(records), end, era=era))
             after = page.items[-1].key
 
     async def put(self, topic, key, value, at=None):
@@ -142,7 +162,7 @@
             self._metrics.count(f'store.failures.{topic}', 1)
         else:
             self._metrics.count(
-                f'store.bytes_read.{topic}', len(answer.unwrap())
+                f'store.bytes_read.{topic}', len(answer.unwrap().body)
             )
             self._metrics.count(
                 f'store.bytes_written.{topic}', len(body or b'')
@@ -161,13 +181,23 @@
                 raw = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return result.Failure(errors.StoreDown(f'{path} {error!r}'))
+        era = _decode_era(response.headers.get(ERA_HEADER))
+        if self._era is not None:
+            self._era.observe(era)
         if response.status == 200:
-            return result.Success(raw)
+            return result.Success(_Response(raw, era))
         if response.status == 410:
             return result.Failure(errors.StoreGap(query['topic']))
         return result.Failure(errors.StoreDown(f'{path} {response.status}'))
 
 
+def _decode_era(text):
+    """Return the era in a header; a store that names none has one only."""
+    if text is None or not text.isascii() or not text.isdigit():
+        return NO_ERA
+    return int(text[:MAX_ERA_DIGITS])
+
+
 def _make_timeout(method, wait_s):
     """Return the limits of a call; reads are limited by silence."""
     silence_s = wait_s + CALL_TIMEOUT_S
@@ -192,7 +222,8 @@
     return Record(key, raw[size:] or None, offset)
 
 
-def _decode_page(body, start):
+def _decode_page(response, start):
+    body = response.body
     if len(body) < _ENDS.size:
         return result.Failure(errors.StoreDown('short page'))
     end, first = _ENDS.unpack_from(body)
@@ -205,12 +236,14 @@
             return result.Failure(errors.StoreDown('cut page'))
         records.append(body[at : at + size])
         at += size
-    return result.Success(Page(end, first, start, tuple(records)))
+    return result.Success(
+        Page(end, first, start, tuple(records), era=response.era)
+    )
 
 
-def _decode_newest(body):
+def _decode_newest(response):
     try:
-        return result.Success(msgspec.json.decode(body, type=_Newest))
+        return result.Success(msgspec.json.decode(response.body, type=_Newest))
     except msgspec.DecodeError as error:
         return result.Failure(errors.StoreDown(f'page: {error}'))
 
@@ -228,8 +261,9 @@
     offset: int
 
 
-def _decode_offset(body):
+def _decode_offset(response):
     try:
-        return result.Success(msgspec.json.decode(body, type=_Appended).offset)
+        found = msgspec.json.decode(response.body, type=_Appended)
+        return result.Success(found.offset)
     except msgspec.DecodeError as error:
         return result.Failure(errors.StoreDown(f'append: {error}'))
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -28,26 +28,34 @@
     pass
 
 
+def _do_nothing():
+    pass
+
+
 class TopicFollower:
     """Follows one keyed topic and applies its records.
 
     ``apply(record)`` is called for each record with a value and may raise
     ``msgspec.DecodeError``; ``remove(key)`` for each deletion;
     ``keep_only(keys)`` with the keys found when the topic is read from its
-    beginning. With ``zone_reader``, new records come from the zone's reader
-    while it is healthy, and otherwise from the store.
+    beginning. With ``zone_reader``, records come from the zone's reader while
+    it is healthy, and otherwise from the store.
+
+    ``begin_era()`` is called when the store has been restored, before its
+    newest records are applied. ``is_restored`` says whether those are being
+    applied: they may be older than what is known.
     """
 
-    __slots__ = ('_apply', '_direct_backoff', '_direct_retry_at',
-                 '_failed_reads', '_failing_since', '_keep_only', '_log',
-                 '_newest', '_read_limits', '_remove', '_start_backoff',
-                 '_store', '_timer', '_topic', '_was_long_poll',
-                 '_zone_reader', 'confirmed_at', 'failing',
-                 'position')  # fmt: skip
+    __slots__ = ('_apply', '_begin_era', '_direct_backoff', '_direct_retry_at',
+                 '_failed_reads', '_failing_since', '_keep_only', '_least_era',
+                 '_log', '_newest', '_read_limits', '_remove',
+                 '_start_backoff', '_store', '_timer', '_topic',
+                 '_was_long_poll', '_zone_reader', 'confirmed_at', 'era',
+                 'failing', 'is_restored', 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
-                 keep_only=_ignore, zone_reader=None,
-                 read_limits=None):  # fmt: skip
+                 keep_only=_ignore, zone_reader=None, read_limits=None,
+                 begin_era=_do_nothing):  # fmt: skip
         self._store = store
         self._timer = timer
         self._topic = topic
@@ -55,9 +63,15 @@
         self._apply = apply
         self._remove = remove
         self._keep_only = keep_only
+        self._begin_era = begin_era
         self._zone_reader = zone_reader
         self._read_limits = read_limits
+        # The offset to read next, and the era that it belongs to.
         self.position = None
+        self.era = None
+        # Records of an earlier era than this one are gone.
+        self._least_era = store_module.NO_ERA
+        self.is_restored = False
         # Each key's newest (offset, value).
         self._newest = {}
         self.failing = False
@@ -77,20 +91,29 @@
         # When the store last had nothing newer than what has been read.
         self.confirmed_at = float('-inf')
 
+    def has_key(self, key):
+        """Return whether there is a record with this key."""
+        return key in self._newest
+
     async def read(self, wait_s=0.0, is_direct=False):
         """Read once; return ``Result`` with whether all records were read.
 
         The store may wait ``wait_s`` for new records; ``is_direct`` bypasses
         the zone's reader.
         """
+        answer = None
+        if self.position is not None:
+            answer = await self._read_next(wait_s, is_direct)
         if self.position is None:
             answer = await self._read_newest()
-        else:
-            answer = await self._read_next(wait_s, is_direct)
         self._record_result(answer)
         if self._zone_reader is not None and self.position is not None:
             self._zone_reader.share_newest(
-                self._topic, self._newest, self.position, self.confirmed_at
+                self._topic,
+                self._newest,
+                self.position,
+                self.confirmed_at,
+                self.era,
             )
         return answer
 
@@ -111,11 +134,9 @@
         """
         if self.position is None:
             pause_s = self._start_backoff.advance()
-            if (
-                self._zone_reader is not None
-                and not self._zone_reader.is_known
-            ):
-                await self._zone_reader.wait_until_known(pause_s)
+            reader = self._zone_reader
+            if reader is not None and not reader.is_known:
+                await reader.wait_until_known(pause_s)
                 return
         await self._timer.sleep(pause_s)
 
@@ -126,15 +147,28 @@
         """
         requested_at = self._timer.now()
         snapshot = await self._fetch_snapshot()
-        source = 'zone reader'
-        if snapshot is None:
-            source = 'store'
-            requested_at = self._timer.now()
-            answer = await self._store.read_newest(self._topic)
-            if isinstance(answer, result.Failure):
-                return answer
-            snapshot = answer.unwrap()
-            self._share_records(snapshot.end, (), requested_at)
+        if snapshot is not None:
+            return self._accept_snapshot(snapshot, requested_at, 'zone reader')
+        requested_at = self._timer.now()
+        answer = await self._store.read_newest(self._topic)
+        if isinstance(answer, result.Failure):
+            return answer
+        snapshot = answer.unwrap()
+        self._share_records(snapshot.end, (), requested_at, snapshot.era)
+        return self._accept_snapshot(snapshot, requested_at, 'store')
+
+    async def _fetch_snapshot(self):
+        """Return the zone reader's ``Snapshot``; None to read the store."""
+        if self._zone_reader is None:
+            return None
+        await self._zone_reader.wait_until_known(KNOWN_WAIT_S)
+        snapshot = await self._zone_reader.read_newest(self._topic)
+        if snapshot is None or snapshot.era < self._least_era:
+            return None
+        return snapshot
+
+    def _accept_snapshot(self, snapshot, requested_at, source):
+        """Apply a snapshot; return ``Result`` with whether it is recent."""
         self.confirmed_at = requested_at + (snapshot.current_after_s or 0.0)
         self._apply_snapshot(snapshot)
         age_s = self._timer.now() - self.confirmed_at
@@ -144,19 +178,17 @@
             source=source,
             records=len(snapshot.records),
             end=snapshot.end,
+            era=snapshot.era,
             age_ms=logs.round_to_ms(age_s),
         )
         limits = self._read_limits
         return result.Success(limits is None or age_s <= limits.max_age_s)
 
-    async def _fetch_snapshot(self):
-        """Return the zone reader's ``Snapshot``; None to read the store."""
-        if self._zone_reader is None:
-            return None
-        await self._zone_reader.wait_until_known(KNOWN_WAIT_S)
-        return await self._zone_reader.read_newest(self._topic)
-
     def _apply_snapshot(self, snapshot):
+        if self.era is not None and snapshot.era > self.era:
+            self.is_restored = True
+            self._begin_era()
+        self.era = self._least_era = snapshot.era
         self._newest = {}
         for record in sorted(snapshot.records, key=lambda r: r.offset):
             self._apply_record(record)
@@ -166,32 +198,40 @@
         )
         self.position = snapshot.end
         self._was_long_poll = False
+        self.is_restored = False
 
     async def _read_next(self, wait_s, is_direct):
         requested_at = self._timer.now()
-        page = None
+        found = None
         if self._zone_reader is not None and not is_direct:
-            page = await self._zone_reader.read(
+            found = await self._zone_reader.read(
                 self._topic,
                 self.position,
                 self._read_limits,
                 self.confirmed_at,
+                self.era,
             )
-        self._was_long_poll = page is not None
-        if page is None:
+        if isinstance(found, store_module.Snapshot):
+            if (found.era, found.end) >= (self.era, self.position):
+                return self._accept_snapshot(
+                    found, requested_at, 'zone reader'
+                )
+            found = None
+        self._was_long_poll = found is not None
+        if found is None:
             if not is_direct and self._timer.now() < self._direct_retry_at:
                 return result.Failure(errors.StoreDown('left to the reader'))
             answer = await self._read_store(self._limit_wait(wait_s))
             self._back_off_direct_reads(answer)
             if isinstance(answer, result.Failure):
                 return answer
-            page = answer.unwrap()
+            found = answer.unwrap()
         else:
             self.confirmed_at = max(
-                self.confirmed_at, requested_at + page.current_after_s
+                self.confirmed_at, requested_at + found.current_after_s
             )
-        self._apply_page(page)
-        return result.Success(page.next >= page.end)
+        self._apply_page(found)
+        return result.Success(found.next >= found.end)
 
     def _limit_wait(self, wait_s):
         """Return how long the store may wait for new records.
@@ -220,23 +260,35 @@
         answer = await self._store.read(self._topic, self.position, wait_s)
         if isinstance(answer, result.Failure):
             if isinstance(answer.failure(), errors.StoreGap):
-                self.position = None
-                self._log.info('records gone', topic=self._topic)
+                self._drop_position('records gone')
             return answer
         page = answer.unwrap()
+        if page.era != self.era:
+            self._least_era = max(self._least_era, page.era)
+            self._drop_position('position of another era', era=page.era)
+            return result.Failure(errors.StoreRestored(page.era))
         if page.next >= page.end:
             # The store responds early only with new records.
             waited_s = self._timer.now() - requested_at
             self.confirmed_at = requested_at + (
                 wait_s if waited_s >= wait_s else 0.0
             )
-        self._share_records(page.start, page.records, self.confirmed_at)
+        self._share_records(
+            page.start, page.records, self.confirmed_at, page.era
+        )
         return answer
 
-    def _share_records(self, start, records, confirmed_at):
+    def _drop_position(self, cause, **facts):
+        """Read the topic anew: the position is of no use."""
+        self._log.info(
+            cause, topic=self._topic, position=self.position, **facts
+        )
+        self.position = None
+
+    def _share_records(self, start, records, confirmed_at, era):
         if self._zone_reader is not None:
             self._zone_reader.record_read(
-                self._topic, start, records, confirmed_at
+                self._topic, start, records, confirmed_at, era
             )
 
     def _apply_page(self, page):
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -2,7 +2,8 @@
 
 One instance of a zone reads the store and the others query it for new
 records. Offsets are the store's own, so an instance can switch from one
-reader to another, or to the store, at any moment.
+reader to another, or to the store, at any moment. An offset belongs to an era:
+the store may be restored from an older copy and give offsets out again.
 """
 
 import asyncio
@@ -51,6 +52,7 @@
     held_s: float
     records: tuple[bytes, ...]
     compressed: tuple[int, ...] = ()
+    era: int = 0
 
 
 class KeyedRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -72,6 +74,7 @@
     age_s: float
     held_s: float
     records: tuple[KeyedRecord, ...]
+    era: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(CacheResponse)
@@ -91,6 +94,7 @@
         '_records_added',
         'confirmed_at',
         'end',
+        'era',
         'first',
     )
 
@@ -100,16 +104,23 @@
         self._compressed = {}
         self._records_added = asyncio.Event()
         self._records = collections.deque()
-        self.first = self.end = 0
+        self.first = self.end = self.era = 0
         self.confirmed_at = float('-inf')
 
-    def extend(self, start, records, confirmed_at):
-        """Add records read from the store; clear older ones after a gap."""
-        if start != self.end:
+    def extend(self, start, records, confirmed_at, era=0):
+        """Add records read from the store.
+
+        Older ones are cleared after a gap, and at the begin of an era.
+        """
+        has_new_era = era != self.era
+        if has_new_era or start != self.end:
             self._records.clear()
             self._compressed.clear()
             self._bytes = 0
             self.first = self.end = start
+        if has_new_era:
+            self.era = era
+            self.confirmed_at = confirmed_at
         self._records.extend(records)
         self._bytes += sum(map(len, records))
         self.end += len(records)
@@ -120,13 +131,13 @@
             self._compressed.pop(self.first, None)
             self.first += 1
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if records:
+        if records or has_new_era:
             added, self._records_added = self._records_added, asyncio.Event()
             added.set()
 
-    def has(self, start):
+    def has(self, start, era):
         """Return whether all records from ``start`` on are cached."""
-        return start >= self.first
+        return era == self.era and start >= self.first
 
     def copy(self, start):
         """Return the records from ``start`` on."""
@@ -153,11 +164,14 @@
             positions.append(position)
         return tuple(sent), tuple(positions)
 
-    async def wait_past(self, start, seconds):
-        """Wait at most ``seconds`` until there is a record at ``start``."""
+    async def wait_past(self, start, era, seconds):
+        """Wait at most ``seconds`` until there is a record at ``start``.
+
+        Return at once if the era is another one.
+        """
         try:
             async with asyncio.timeout(seconds):
-                while self.end <= start:
+                while era == self.era and self.end <= start:
                     await self._records_added.wait()
         except TimeoutError:
             return
@@ -166,11 +180,12 @@
 class _Newest:
     """The newest records of one topic, by key."""
 
-    __slots__ = ('confirmed_at', 'end', 'records')
+    __slots__ = ('confirmed_at', 'end', 'era', 'records')
 
-    def __init__(self, records, end, confirmed_at):
+    def __init__(self, records, end, confirmed_at, era):
         self.records = records
         self.end = end
+        self.era = era
         self.confirmed_at = confirmed_at
 
 
@@ -188,14 +203,14 @@
         self._newest_added = asyncio.Event()
         self._now = now
 
-    def set_newest(self, topic, records, end, confirmed_at):
+    def set_newest(self, topic, records, end, confirmed_at, era=0):
         """Share a topic's newest records as of ``end``.
 
         ``records`` maps keys to (offset, value) and may change until the
         next call.
         """
         is_first = topic not in self._newest
-        self._newest[topic] = _Newest(records, end, confirmed_at)
+        self._newest[topic] = _Newest(records, end, confirmed_at, era)
         if is_first:
             added, self._newest_added = self._newest_added, asyncio.Event()
             added.set()
@@ -221,38 +236,47 @@
             return None
         now = self._now()
         return NewestResponse(
-            found.end, now - found.confirmed_at, now - received_at, records
+            found.end,
+            now - found.confirmed_at,
+            now - received_at,
+            records,
+            found.era,
         )
 
     def _pack(self, topic, key, offset, value):
         """Return a ``KeyedRecord``; a large value is compressed once."""
         if len(value) < MIN_COMPRESSED_BYTES:
             return KeyedRecord(key, offset, value)
-        packed = self._compressed.get((topic, key))
-        if packed is None or packed.offset != offset:
+        raw, packed = self._compressed.get((topic, key), (None, None))
+        if raw is not value:
             packed = KeyedRecord(key, offset, zlib.compress(value), True)
-            self._compressed[topic, key] = packed
+            self._compressed[topic, key] = value, packed
         return packed
 
-    def extend(self, topic, start, records, confirmed_at):
+    def extend(self, topic, start, records, confirmed_at, era=0):
         """Add records read from the store."""
         cache = self._by_topic.get(topic)
         if cache is None:
             cache = self._by_topic[topic] = TopicCache()
-        cache.extend(start, records, confirmed_at)
+        cache.extend(start, records, confirmed_at, era)
 
-    async def get_records(self, topic, start, wait_s, compresses=False):
-        """Return a ``CacheResponse``, None if the peer must read the store.
+    async def get_records(
+        self, topic, start, wait_s, compresses=False, era=None
+    ):
+        """Return a ``CacheResponse``, None if the cache lacks the records.
 
         Wait at most ``wait_s`` for a record at ``start``. With ``compresses``
-        large records are compressed.
+        large records are compressed. Without an era, that of the cache is
+        taken.
         """
         received_at = self._now()
         cache = self._by_topic.get(topic)
         if cache is None:
             return None
-        await cache.wait_past(start, wait_s)
-        if not cache.has(start):
+        if era is None:
+            era = cache.era
+        await cache.wait_past(start, era, wait_s)
+        if not cache.has(start, era):
             return None
         records, compressed = cache.copy(start), ()
         if compresses:
@@ -267,6 +291,7 @@
             now - received_at,
             records,
             compressed,
+            era,
         )
 
     async def answer(self, request):
@@ -291,12 +316,14 @@
             start = int(query['start'])
             wait_s = float(query['wait_s'])
             compresses = query.get('compresses') == '1'
+            # Builds that don't know of eras name none.
+            era = int(query['era']) if 'era' in query else None
         except (KeyError, ValueError):
             return web.Response(status=400)
         if not 0.0 <= wait_s <= MAX_WAIT_S:
             return web.Response(status=400)
         return _make_response(
-            await self.get_records(topic, start, wait_s, compresses)
+            await self.get_records(topic, start, wait_s, compresses, era)
         )
 
 
@@ -306,7 +333,7 @@
     return web.Response(body=msgspec.msgpack.encode(found))
 
 
-async def fetch(session, address, topic, start, wait_s):
+async def fetch(session, address, topic, start, wait_s, era=0):
     """Request the records from ``start`` on from the peer at ``address``.
 
     Return ``Result`` with a ``CacheResponse``; the failure is ``StoreGap``
@@ -318,6 +345,7 @@
         'start': str(start),
         'wait_s': f'{wait_s:.3f}',
         'compresses': '1',
+        'era': str(era),
     }
     return await _get(
         session, address, PATH, query, wait_s,
--- a/tests/outer/calls.py
+++ b/tests/outer/calls.py
@@ -40,7 +40,7 @@
         return self.request('POST', url, **options)
 
     async def __aenter__(self):
-        return types.SimpleNamespace(status=200, read=self._read)
+        return types.SimpleNamespace(status=200, headers={}, read=self._read)
 
     async def __aexit__(self, *_):
         return None
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,6 +24,7 @@
         self.broken_topics = set()
         self.reads = 0
         self.bytes_read = 0
+        self.era = 1
         self._appended = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -41,6 +42,16 @@
         appended, self._appended = self._appended, asyncio.Event()
         appended.set()
 
+    def copy(self):
+        """Return a copy of all topics, for ``restore``."""
+        return {topic: list(raw) for topic, raw in self.topics.items()}
+
+    def restore(self, copy):
+        """Come back as of a copy: what was written since is gone."""
+        self.topics = {topic: list(raw) for topic, raw in copy.items()}
+        self.era += 1
+        self.fault = None
+
     def compact(self, topic):
         """Delete the history; the newest record of each key stays readable."""
         self.first_offsets[topic] = len(self.topics.get(topic, ()))
@@ -58,6 +69,7 @@
 
     def make_app(self):
         app = web.Application(middlewares=[self._inject_fault])
+        app.on_response_prepare.append(self._add_era)
         app.add_routes(
             [
                 web.post('/log-append', self._handle_append),
@@ -67,6 +79,9 @@
         )
         return app
 
+    async def _add_era(self, request, response):
+        response.headers['Store-Era'] = str(self.era)
+
     @web.middleware
     async def _inject_fault(self, request, handler):
         if self.fault == 'busy':
@@ -97,7 +112,7 @@
         topic = request.query['topic']
         start = int(request.query['from'])
         first = self.first_offsets.get(topic, 0)
-        if start < first:
+        if start < first or start > len(self.topics.get(topic, ())):
             return web.json_response({'first': first}, status=410)
         if start >= len(self.topics.get(topic, ())):
             with contextlib.suppress(TimeoutError):
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -200,15 +200,15 @@
     async def read_newest(self, topic):
         return None
 
-    def share_newest(self, topic, records, end, confirmed_at):
+    def share_newest(self, topic, records, end, confirmed_at, era):
         pass
 
-    async def read(self, topic, start, read_limits, confirmed_at):
+    async def read(self, topic, start, read_limits, confirmed_at, era):
         if not self.is_healthy:
             return None
         return store.Page(start, start, start, (), 0.0)
 
-    def record_read(self, topic, start, records, confirmed_at):
+    def record_read(self, topic, start, records, confirmed_at, era):
         pass
 
 
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -168,7 +168,7 @@
         self._steps = iter(steps)
         self._records = records
 
-    async def fetch(self, session, address, topic, start, wait_s):
+    async def fetch(self, session, address, topic, start, wait_s, era=0):
         try:
             out_s, held_s, back_s, age_s, responds = next(self._steps)
         except StopIteration:
@@ -266,7 +266,7 @@
         self._steps = iter(steps)
         self._records = records
 
-    async def fetch(self, session, address, topic, start, wait_s):
+    async def fetch(self, session, address, topic, start, wait_s, era=0):
         part, age_s, responds = next(self._steps, (1.0, 3.0, True))
         if not responds:
             self._timer.time += wait_s + log_cache.RESPONSE_TIMEOUT_S
