Don't use servers again that a restored store lists as they were

What callers saw: requests sent to a server that had left, after the store came back from a copy in which it was still ready.

Cause: an entry read anew counted as the server's newest word, though a later one was known.

Change: the directory remembers the birth and sequence of servers that are gone. Among the newest records of a new era, an entry no later than the last known one changes nothing; that of a gone server is used only if it is still listed after it would have lapsed. Servers that the store has lost keep their places for the time in which they write their entries again.

Measured: test_server_that_had_left_is_not_used_again failed before.

--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -11,13 +11,16 @@
 # A server that fails several times in a row is paused longer each time, up
 # to the last value.
 PAUSES_S = (0.3, 1.0, 2.0, 4.0)
+# Gone servers that are remembered; the oldest are dropped.
+MAX_GONE = 4096
 
 
 class Entry(msgspec.Struct, frozen=True):
     """A backend server's own entry; ``state`` is live or leaving.
 
     ``born`` is the Unix time of its start in ms, which reveals a restart
-    under the same name; ``models`` are (name, weight version) pairs.
+    under the same name; ``sequence`` counts its entries since then; ``models``
+    are (name, weight version) pairs.
     """
 
     name: str
@@ -30,6 +33,12 @@
     cold_s: float = 0.0
     born: int = 0
     models: tuple[tuple[str, int], ...] = ()
+    sequence: int = 0
+
+    @property
+    def age_rank(self):
+        """A value that is higher in later entries of the same server."""
+        return self.born, self.sequence
 
 
 class Server(fleet.BackendServer):
@@ -93,13 +102,19 @@
 
     After an outage of the store, servers that are alive renew the entries
     that lapsed meanwhile. Removals are deferred so that they stay in use.
+    A store that was restored from a copy may list servers that are gone.
     """
 
-    __slots__ = ('_defer_until', '_deferred', '_now', 'by_service', 'servers')
+    __slots__ = ('_defer_until', '_deferred', '_gone', '_held_back', '_now',
+                 'by_service', 'servers')  # fmt: skip
 
     def __init__(self, now):
         self._now = now
         self._deferred = {}
+        # The last entries of servers that are gone, oldest first.
+        self._gone = {}
+        # Entries of the store that are applied if they stay, with the time.
+        self._held_back = {}
         self._defer_until = float('-inf')
         self.servers = {}
         self.by_service = {}
@@ -108,9 +123,31 @@
         """Defer removals until ``seconds`` from now."""
         self._defer_until = max(self._defer_until, self._now() + seconds)
 
+    def is_outdated(self, entry):
+        """Return whether a later entry of the same server is known.
+
+        That of a server that is gone counts as later than an equal one.
+        """
+        known = self.servers.get(entry.name)
+        if known is not None:
+            return entry.age_rank < known.entry.age_rank
+        gone = self._gone.get(entry.name)
+        return gone is not None and entry.age_rank <= gone.age_rank
+
+    def hold_back(self, entry, seconds):
+        """Apply an entry after ``seconds``, unless it is removed by then.
+
+        A server in use is not removed meanwhile.
+        """
+        self._deferred.pop(entry.name, None)
+        if entry.name not in self.servers:
+            self._held_back[entry.name] = entry, self._now() + seconds
+
     def apply(self, entry):
         """Add or update a server; cancel its deferred removal."""
         self._deferred.pop(entry.name, None)
+        self._held_back.pop(entry.name, None)
+        self._gone.pop(entry.name, None)
         known = self.servers.get(entry.name)
         if known and is_same_process(known.entry, entry):
             known.update(entry)
@@ -120,6 +157,7 @@
 
     def remove(self, name):
         """Remove a server, or defer its removal after an outage."""
+        self._held_back.pop(name, None)
         if name not in self.servers:
             return
         if self._now() < self._defer_until:
@@ -127,23 +165,31 @@
             return
         self._drop(name)
 
-    def apply_deferred_removals(self):
-        """Apply the deferred removals that are due."""
+    def apply_deferred(self):
+        """Apply what was deferred or held back and is due."""
         now = self._now()
+        for entry, until in list(self._held_back.values()):
+            if until <= now:
+                self.apply(entry)
         for name in [n for n, until in self._deferred.items() if until <= now]:
             del self._deferred[name]
             self._drop(name)
 
     def keep_only(self, names):
         """Remove all servers but the named ones."""
-        for name in self.servers.keys() - names:
+        for name in (self.servers.keys() | self._held_back.keys()) - names:
             self.remove(name)
 
     def _drop(self, name):
         server = self.servers.pop(name, None)
-        if server is not None:
-            server.leaving = True
-            self._index()
+        if server is None:
+            return
+        server.leaving = True
+        self._gone.pop(name, None)
+        self._gone[name] = server.entry
+        if len(self._gone) > MAX_GONE:
+            del self._gone[next(iter(self._gone))]
+        self._index()
 
     def _index(self):
         self.by_service = {}
--- a/arbutuschute/platform/directory.py
+++ b/arbutuschute/platform/directory.py
@@ -26,6 +26,8 @@
     models: list[_Model] = []
     # When the server started, in Unix milliseconds.
     born: int = 0
+    # Counts the server's writes since its start.
+    sequence: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -56,5 +58,6 @@
         state='leaving' if found.state == 'draining' else 'live',
         cold_s=found.cold_remaining_ms / 1000,
         born=found.born,
+        sequence=found.sequence,
         models=tuple((model.name, model.version) for model in found.models),
     )
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -31,6 +31,9 @@
 RETURN_AFTER_OUTAGE_S = 2.0
 # Below every version of a configuration.
 NO_VERSION = float('-inf')
+# An entry of a server that is gone lapses within three of its heartbeats, so
+# one that is still listed after this time is of a server that is alive.
+RESTORED_ENTRY_S = 6.0
 
 
 class OperatorFollower:
@@ -189,6 +192,15 @@
         if entry is None:
             self._log.debug('server entry malformed', server=record.key)
             return
+        if self._topic.is_restored and self._directory.is_outdated(entry):
+            self._log.info(
+                'server entry of the store is older',
+                server=entry.name,
+                state=entry.state,
+                offset=record.offset,
+            )
+            self._directory.hold_back(entry, RESTORED_ENTRY_S)
+            return
         known = self._directory.servers.get(entry.name)
         if known is None or known.entry.state != entry.state:
             self._log.info(
@@ -213,7 +225,7 @@
             if self._topic.failing:
                 self._directory.defer_removals(RETURN_AFTER_OUTAGE_S)
             answer = await self._topic.read()
-            self._directory.apply_deferred_removals()
+            self._directory.apply_deferred()
             if isinstance(answer, result.Failure):
                 await self._topic.wait_after_failure()
             elif answer.unwrap():
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
 from arbutuschute.platform import followers
 from tests.platform import conftest
+from tests.platform import standin
 from tests.platform import test_zone_peers
 
 IN_FORCE_WITHIN_S = 2.5
@@ -139,6 +141,30 @@
     )
 
 
+# Guards against sending requests to a server that had left: its entry is in
+# the copy from which the store came back.
+async def test_server_that_had_left_is_not_used_again(world):
+    await world.start([standin.answer_ok, standin.answer_ok])
+    directory = world.instance.environment.directory
+    copy = world.store.copy()
+    world.list_engine(world.engines['i-1'], state='draining', sequence=5)
+    await conftest.wait_for(lambda: directory.servers['i-1'].leaving)
+    world.store.put('keyed.servers', 'i-1', None)
+    await conftest.wait_for(lambda: 'i-1' not in directory.servers)
+    await lose_store(world)
+    world.store.restore(copy)
+    arrived = len(world.engines['i-1'].seen)
+    await wait_for_new_era(world)
+    for number in range(12):
+        path = f'/again/{number}'
+        with contextlib.suppress(AssertionError):
+            assert await test_zone_peers.is_served(world, path)
+        await asyncio.sleep(0.05)
+    assert len(world.engines['i-1'].seen) == arrived
+    world.list_engine(world.engines['i-1'], born=2, sequence=1)
+    await conftest.wait_for(lambda: 'i-1' in directory.servers)
+
+
 async def test_server_that_the_store_has_lost_stays_in_use(world):
     await world.start()
     copy = world.store.copy()
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -312,7 +312,7 @@
     def defer_removals(self, seconds):
         pass
 
-    def apply_deferred_removals(self):
+    def apply_deferred(self):
         pass
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -306,10 +306,10 @@
     directory.defer_removals(2.0)
     directory.remove('x')
     clock.time = 1.9
-    directory.apply_deferred_removals()
+    directory.apply_deferred()
     assert 'x' in directory.servers
     clock.time = 2.1
-    directory.apply_deferred_removals()
+    directory.apply_deferred()
     assert 'x' not in directory.servers
 
 
@@ -322,7 +322,7 @@
     directory.remove('x')
     directory.apply(entry)
     clock.time = 5.0
-    directory.apply_deferred_removals()
+    directory.apply_deferred()
     assert 'x' in directory.servers
 
 
@@ -394,3 +394,51 @@
     assert found[events.MEASURED_EVENTS] == pytest.approx(0.5)
     assert [gap_s for gap_s in found if gap_s is not None] == [0.5]
     assert meter.finish() is None
+
+
+def make_entry(name, born, sequence, state='live'):
+    return servers.Entry(
+        name, 's', '10.0.0.1:1', 'a', 'v1', 4, state, born=born,
+        sequence=sequence,
+    )  # fmt: skip
+
+
+# Guards against using a server that has left, as a store that was restored
+# from a copy lists it again.
+def test_restored_entry_of_a_gone_server_is_held_back():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.apply(make_entry('i-1', born=5, sequence=9, state='leaving'))
+    directory.remove('i-1')
+    for outdated in (make_entry('i-1', 5, 3), make_entry('i-1', 4, 20)):
+        assert directory.is_outdated(outdated)
+    assert not directory.is_outdated(make_entry('i-1', born=5, sequence=10))
+    assert not directory.is_outdated(make_entry('i-1', born=6, sequence=1))
+    assert not directory.is_outdated(make_entry('i-2', born=1, sequence=1))
+    directory.hold_back(make_entry('i-1', 5, 3), 6.0)
+    clock.time += 5.9
+    directory.apply_deferred()
+    assert 'i-1' not in directory.servers
+    clock.time += 0.2
+    directory.apply_deferred()
+    assert 'i-1' in directory.servers
+
+
+def test_held_back_entry_that_is_removed_is_never_used():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.remove('i-1')
+    directory.hold_back(make_entry('i-1', 5, 3), 6.0)
+    directory.keep_only(set())
+    clock.time += 7.0
+    directory.apply_deferred()
+    assert not directory.servers
+
+
+def test_older_entry_of_a_known_server_changes_nothing():
+    directory = servers.Directory(Clock())
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    assert directory.is_outdated(make_entry('i-1', born=4, sequence=9))
+    assert not directory.is_outdated(make_entry('i-1', born=5, sequence=3))
