Go on with a roll-out when the store comes back from an older copy

Instances that started after the return began the roll-out anew at its first step, others stayed at theirs, and a completed one was begun again with status in_progress.

Cause: orders and steps were identified by offsets of two pasts of the log, and what the instances had written of the roll-out was never written again.

Change: in a new era an order is recognised by its content, wherever the operator has written it again; one that a later order had replaced is left alone. Until the order stands in the log no step is written. Instances that ran through the return write their step, or the end, and its status again, one of them; a step behind their own does not count. In a new era the first end in the log is that of all.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -138,7 +138,10 @@
             client, self._timer, self._log, environment.random, identity,
             environment.rollouts, environment.directory, self.reader,
         )  # fmt: skip
-        era.changes.subscribe(lambda _: self.reader.handle_restore())
+        for handle_restore in (
+            environment.rollouts.begin_era, self.reader.handle_restore,
+        ):  # fmt: skip
+            era.changes.subscribe(lambda _, handle=handle_restore: handle())
 
     def _apply_table(self, table):
         self.environment.table = table
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -82,7 +82,9 @@
         answer = await self._topic.read()
         if isinstance(answer, result.Failure) or not answer.unwrap():
             return
-        if rollout.phase is not canary.Phase.RUNNING:
+        if not rollout.is_in_log:
+            return
+        if rollout.is_announced and rollout.phase is not canary.Phase.RUNNING:
             await self._report_status(rollout)
             return
         for _ in range(MAX_STEP_ATTEMPTS):
@@ -136,6 +138,7 @@
         Return whether it was written.
         """
         key = f'step/{step.service}'
+        is_first = not rollout.is_announced
         answer = await self._store.put(
             TOPIC, key, canary.encode(step), at=self._topic.position
         )
@@ -157,7 +160,7 @@
         await self._topic.read(is_direct=True)
         if isinstance(answer, result.Failure):
             return False
-        if step.number == 0 or step.phase is not canary.Phase.RUNNING:
+        if is_first or step.phase is not canary.Phase.RUNNING:
             await self._put_status(rollout)
         return True
 
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -53,7 +53,8 @@
 class Order(msgspec.Struct, frozen=True):
     """Move a service's requests to a version within ``duration_s``.
 
-    ``offset`` is that of the operator's record and identifies the order.
+    ``offset`` is that of the operator's record and identifies the order until
+    the log is restored from an older copy.
     """
 
     service: str
@@ -61,6 +62,11 @@
     duration_s: float
     offset: int
 
+    @property
+    def content(self):
+        """What the operator ordered, wherever it stands in the log."""
+        return self.service, self.version, self.duration_s
+
 
 class Step(msgspec.Struct, frozen=True, tag='step'):
     """A record that a roll-out has reached a share or its end."""
@@ -107,6 +113,7 @@
         'ended_at',
         'first_share',
         'is_announced',
+        'is_in_log',
         'is_settled',
         'number',
         'order',
@@ -121,8 +128,9 @@
         self.number = 0
         self.started_at = now
         self.ended_at = now
-        # Whether the log has a step of the roll-out, and whether the operator
-        # has its end.
+        # Whether the log has the order, the step that this instance knows of,
+        # and whether the operator has the roll-out's end.
+        self.is_in_log = True
         self.is_announced = False
         self.is_settled = False
         # When the newest step takes effect, in seconds of the roll-out.
@@ -138,6 +146,17 @@
         """
         return self.started_at + self._effect_after_s
 
+    def begin_era(self):
+        """Assume that the log has lost the order, its steps and its status."""
+        self.is_in_log = False
+        self.is_announced = False
+        self.is_settled = False
+
+    def adopt(self, order):
+        """Continue with the same order, written again at another offset."""
+        self.order = order
+        self.is_in_log = True
+
     def get_share(self, now):
         """Return the new version's share of sessions at ``now``."""
         if self.phase is Phase.ROLLED_BACK:
@@ -162,16 +181,29 @@
         if isinstance(record, Evidence):
             self.comparison.merge(record)
             return
-        if self.phase is not Phase.RUNNING:
+        if self.is_announced and self.phase is not Phase.RUNNING:
+            return
+        if self._is_behind(record):
             return
         self.is_announced = True
         self.first_share = record.first_share
+        if self.phase is record.phase is not Phase.RUNNING:
+            return
         self.phase = record.phase
         self.ended_at = now
         if record.number > self.number:
             self.number = record.number
             self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
 
+    def _is_behind(self, step):
+        """Return whether a step is of a past that the roll-out has left.
+
+        An instance that starts after the log was restored begins it anew.
+        """
+        if self.phase is not Phase.RUNNING:
+            return step.phase is Phase.RUNNING
+        return step.phase is Phase.RUNNING and step.number < self.number
+
     def record(self, version, signal, failed):
         """Record one outcome that this instance observed."""
         self.comparison.record(self._find_side(version), signal, failed)
@@ -206,11 +238,11 @@
         ``old_idle`` is whether this instance has nothing in flight at the
         old version.
         """
-        if self.phase is not Phase.RUNNING:
-            return None
         elapsed = now - self.started_at
         if not self.is_announced:
-            return self._make_step(0, Phase.RUNNING, elapsed)
+            return self._make_step(self.number, self.phase, elapsed)
+        if self.phase is not Phase.RUNNING:
+            return None
         if self.comparison.is_bad(instance):
             return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
         duration = self.order.duration_s
@@ -248,11 +280,14 @@
     """The newest order of each service, and the rejected versions."""
 
     __slots__ = ('_baseline', '_last_on_old', '_memory_s', '_now',
-                 '_pending_records', 'by_service', 'rejected')  # fmt: skip
+                 '_pending_records', '_replaced', 'by_service',
+                 'rejected')  # fmt: skip
 
     def __init__(self, now, session_s=SESSION_S):
         # Newest records of orders that have not been read yet.
         self._pending_records = {}
+        # The contents of orders that newer ones have replaced.
+        self._replaced = set()
         # When each key last went to a version other than a roll-out's new
         # one, oldest first.
         self._last_on_old = {}
@@ -269,14 +304,38 @@
         of the instance that announces the roll-out holds for all.
         """
         known = self.by_service.get(order.service)
-        if known is None or known.order.offset < order.offset:
-            share = compute_first_share(servers)
-            self.by_service[order.service] = Rollout(order, self._now(), share)
-            self.rejected.discard((order.service, order.version))
-            for record in self._pending_records.pop(
-                order.service, {}
-            ).values():
-                self.apply(record)
+        if known is not None and not known.is_in_log:
+            if order.content == known.order.content:
+                known.adopt(order)
+                self._apply_pending(order.service)
+                return
+            if order.content in self._replaced:
+                return  # The operator writes the lost order again.
+        elif known is not None and known.order.offset >= order.offset:
+            return
+        if known is not None:
+            self._replaced.add(known.order.content)
+        self._replaced.discard(order.content)
+        self._begin(order, servers)
+
+    def begin_era(self):
+        """Start to compare with a log that was restored from an older copy.
+
+        Roll-outs go on; what the log has lost of them is written again.
+        """
+        self._pending_records.clear()
+        for rollout in self.by_service.values():
+            rollout.begin_era()
+
+    def _begin(self, order, servers):
+        share = compute_first_share(servers)
+        self.by_service[order.service] = Rollout(order, self._now(), share)
+        self.rejected.discard((order.service, order.version))
+        self._apply_pending(order.service)
+
+    def _apply_pending(self, service):
+        for record in self._pending_records.pop(service, {}).values():
+            self.apply(record)
 
     def apply(self, record):
         """Apply a record of the log; return its ``Rollout`` or None.
@@ -284,7 +343,8 @@
         Records and orders are read separately, so a record may come first.
         """
         rollout = self.by_service.get(record.service)
-        if rollout is None or rollout.order.offset < record.order:
+        is_order_known = rollout is not None and rollout.is_in_log
+        if not is_order_known or rollout.order.offset < record.order:
             writer = getattr(record, 'instance', None)
             self._pending_records.setdefault(record.service, {})[writer] = (
                 record
