Write verdicts on prompt parts again that a restored store has lost

Instances that start after the return would not know them and send prompts that crash servers. Every running instance has them in memory: each waits between 1 and 12 s and writes what no other has written by then.

Measured: test_lost_verdict_is_written_again_once.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -129,6 +129,8 @@
         self.observations = observation_topic.ObservationTask(
             client, self._timer, self._log, settings.name,
             lambda found: observations.apply(environment, found), self.reader,
+            lambda: environment.crash_reports.list_verdicts(),
+            environment.random,
         )  # fmt: skip
         observations.build(
             environment, self._timer, settings.region,
@@ -140,6 +142,7 @@
         )  # fmt: skip
         for handle_restore in (
             environment.rollouts.begin_era, self.reader.handle_restore,
+            self.observations.handle_restore,
         ):  # fmt: skip
             era.changes.subscribe(lambda _, handle=handle_restore: handle())
 
--- a/arbutuschute/machines/crashes.py
+++ b/arbutuschute/machines/crashes.py
@@ -158,6 +158,10 @@
         """Return the observations that this instance published last."""
         return tuple(self._published)
 
+    def list_verdicts(self):
+        """Return a ``Verdict`` on each group of quarantined parts."""
+        return self._quarantine.list_verdicts()
+
     def apply(self, observation):
         """Apply an observation of another instance."""
         if isinstance(observation, quarantine_module.Answered):
--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -33,6 +33,9 @@
 MAX_QUEUED = 64
 MIN_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 2.0
+# Spreads the first writes after the store was restored. The others have read
+# a record within a second or two.
+REWRITE_DELAY_S = (1.0, 12.0)
 
 _decoder = msgspec.json.Decoder(messages.Observation)
 
@@ -40,16 +43,19 @@
 class ObservationTask:
     """Reads and writes the observations that instances share."""
 
-    __slots__ = ('_apply_observation', '_is_queued', '_log', '_name',
-                 '_numbers', '_queue', '_report', '_store', '_timer',
-                 '_topic')  # fmt: skip
+    __slots__ = ('_apply_observation', '_is_queued', '_list_verdicts', '_log',
+                 '_name', '_numbers', '_queue', '_random', '_report', '_store',
+                 '_timer', '_topic')  # fmt: skip
 
-    def __init__(self, store, timer, log, name, apply, zone_reader=None):
+    def __init__(self, store, timer, log, name, apply, zone_reader=None,
+                 list_verdicts=tuple, random=None):  # fmt: skip
         self._store = store
         self._timer = timer
         self._log = log
         self._name = name
         self._apply_observation = apply
+        self._list_verdicts = list_verdicts
+        self._random = random
         self._numbers = collections.Counter()
         self._queue = collections.deque()
         # The newest limit report and its time, None if it is written.
@@ -80,6 +86,20 @@
             self._enqueue(observation)
         self._is_queued.set()
 
+    def handle_restore(self):
+        """Write the verdicts again that the store has lost.
+
+        Every instance knows them, so each waits for a while and writes what
+        no other one has written by then.
+        """
+        delay_s = self._random.uniform(*REWRITE_DELAY_S)
+        self._timer.call_after(delay_s, self._rewrite_verdicts)
+
+    def _rewrite_verdicts(self):
+        for verdict in self._list_verdicts():
+            if not self._topic.has_key(self._make_key(verdict)):
+                self.publish(verdict)
+
     def _enqueue(self, observation):
         if len(self._queue) >= MAX_QUEUED:
             self._log.warning(
--- a/arbutuschute/policy/quarantine.py
+++ b/arbutuschute/policy/quarantine.py
@@ -140,6 +140,15 @@
         if parts := self.select_unanswered(verdict.parts):
             self._verdicts[frozenset(parts)] = verdict.until
 
+    def list_verdicts(self):
+        """Return a ``Verdict`` on each group that is quarantined now."""
+        until = self._wall() + QUARANTINE_S
+        ends = dict.fromkeys(self.list_groups(), until)
+        ends.update((g, self._verdicts[g]) for g in self._find_verdicts())
+        return [
+            Verdict(tuple(sorted(group)), end) for group, end in ends.items()
+        ]
+
     def select_unanswered(self, parts):
         """Return the parts that were not answered recently."""
         since = self._now() - RECENT_ANSWER_S
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
 from arbutuschute.platform import followers
+from arbutuschute.platform import observations
+from arbutuschute.policy import quarantine
 from tests.platform import conftest
 from tests.platform import standin
 from tests.platform import test_zone_peers
@@ -178,3 +181,25 @@
     world.list_engine(world.engines['i-new'], sequence=2)
     await asyncio.sleep(followers.RETURN_AFTER_OUTAGE_S + 1.0)
     assert 'i-new' in directory.servers
+
+
+# Guards against instances that start after the return and send prompts that
+# crash servers: the verdict on them was lost.
+async def test_lost_verdict_is_written_again_once(world, monkeypatch):
+    monkeypatch.setattr(observations, 'REWRITE_DELAY_S', (0.5, 3.0))
+    await world.start()
+    copy = world.store.copy()
+    async with test_zone_peers.start_peer(world) as peer:
+        verdict = quarantine.Verdict(('p1', 'p2'), time.time() + 60.0)
+        for one in (world.instance, peer):
+            one.environment.crash_reports.apply(verdict)
+        await lose_store(world)
+        world.store.restore(copy)
+        await conftest.wait_for(
+            lambda: world.store.find('keyed.observations', 'verdict/p1/p2'),
+            6.0,
+        )
+        await asyncio.sleep(3.0)
+        assert len(world.store.topics['keyed.observations']) <= 2
+        quarantined = peer.environment.quarantine.find_refused(('p1', 'p2'))
+        assert quarantined == ('p1', 'p2')
