Use the live version if a roll-out's share has no server

Cause: an instance that keeps a share below one offered only servers of the old version to the rest of the sessions, also when there was none.

Change: if all live servers of the service are of the new version, and it was not rejected, they serve every session.

Measured: test_share_that_no_server_can_serve_does_not_count; it failed before.

--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -276,6 +276,11 @@
     return SHARES[0] * min(1.0, SERVERS_AT_FIRST_SHARE / max(1, servers))
 
 
+def _is_only_version(version, servers):
+    """Return whether there are servers, all of this version."""
+    return {server.entry.version for server in servers} == {version}
+
+
 class Rollouts:
     """The newest order of each service, and the rejected versions."""
 
@@ -376,8 +381,12 @@
         if (entry.service, entry.version) not in self.rejected:
             self._baseline.add(key, seconds)
 
-    def select(self, service, servers, key):
-        """Return the servers that a key's requests may run on."""
+    def select(self, service, servers, key, live=()):
+        """Return the servers that a key's requests may run on.
+
+        ``live`` are all of the service's, ``servers`` those to choose from. A
+        share that no live server can serve does not count.
+        """
         usable = [
             server
             for server in servers
@@ -395,9 +404,9 @@
             for server in usable
             if (server.entry.version == version) == uses_new
         ]
-        if chosen or not uses_new:
-            return chosen
-        return usable  # No server of the new version is left.
+        if not chosen and (uses_new or _is_only_version(version, live)):
+            return usable
+        return chosen
 
     def _uses_new(self, rollout, service, key):
         """Return whether a key's requests go to the roll-out's new version.
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -43,7 +43,7 @@
     if not untried and request.route.is_stream:
         untried = live  # A stream may resume at a server that broke it.
     fresh = environment.rollouts.select(
-        request.service, untried, request.session
+        request.service, untried, request.session, live
     )
     usable = [server for server in fresh if server.is_open(now)]
     # If all servers are paused, a paused one is better than none.
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -347,3 +347,19 @@
 def test_version_with_as_many_slower_responses_as_the_old_one_is_advanced():
     rollout = make_compared(3, 10)
     assert rollout.decide('i', 12.0, True).number == 2
+
+
+# Guards against refusing requests although servers of the new version are
+# live: the old ones have stopped, as another instance completed the roll-out.
+def test_share_that_no_server_can_serve_does_not_count():
+    clock, rollouts, _ = make_rollout()
+    clock.time = 10.0
+    old, new = make_server('old'), make_server('new', 'v2')
+    keys = [f'{n}' for n in range(100)]
+    for key in keys:
+        assert rollouts.select('s', [new], key, live=[new]) == [new]
+    # An old server that was tried is no reason to leave the share.
+    kept = [k for k in keys if not rollouts.select('s', [new], k, [old, new])]
+    assert len(kept) > 80
+    rollouts.rejected.add(('s', 'v2'))
+    assert rollouts.select('s', [new], keys[0], live=[new]) == []
