--- a/arbutuschute/cli/traces.py
+++ b/arbutuschute/cli/traces.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from arbutuschute import decoding
+
 # Shown before the other fields, or left out (request, level).
 _HEAD_FIELDS = ('time', 'event', 'instance', 'request', 'level')
 # A timeline counts the events of single requests and does not list them.
@@ -44,7 +46,7 @@
         if start < 0 or value not in text:
             continue
         try:
-            found = msgspec.json.decode(text[start:])
+            found = decoding.decode_json(text[start:])
             if found.get(field) == value:
                 yield _decode_line(found)
         except (msgspec.DecodeError, KeyError, AttributeError, ValueError):
--- a/arbutuschute/contracts/changes.py
+++ b/arbutuschute/contracts/changes.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutuschute.contracts import profiles
+from arbutuschute import decoding
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True, tag_field='kind'):
@@ -98,9 +99,9 @@
     id: str
 
 
-_id_decoder = msgspec.json.Decoder(_OnlyId)
-_batch_decoder = msgspec.json.Decoder(Batch)
-_change_decoder = msgspec.json.Decoder(AnyChange)
+_id_decoder = decoding.make_json_decoder(_OnlyId)
+_batch_decoder = decoding.make_json_decoder(Batch)
+_change_decoder = decoding.make_json_decoder(AnyChange)
 
 
 def encode_batch(entries):
--- a/arbutuschute/contracts/fold.py
+++ b/arbutuschute/contracts/fold.py
@@ -10,6 +10,7 @@
 
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import profiles
+from arbutuschute import decoding
 from arbutuschute import errors
 
 CHANGE_ID_WINDOW_S = 86_400.0
@@ -271,7 +272,7 @@
 
 def load_state(raw):
     """Return the ``Configuration`` encoded in a snapshot."""
-    return msgspec.json.decode(raw, type=Configuration)
+    return decoding.decode_json(raw, Configuration)
 
 
 def find_start(records, first_offset):
--- a/arbutuschute/documents.py
+++ b/arbutuschute/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 
 
@@ -16,7 +17,7 @@
     """
     try:
         raw = pathlib.Path(path).read_bytes()
-        return result.Success(msgspec.json.decode(raw))
+        return result.Success(decoding.decode_json(raw))
     except OSError as error:
         return result.Failure(errors.UnreadableFile(path, error.strerror))
     except msgspec.DecodeError as error:
--- a/arbutuschute/learners.py
+++ b/arbutuschute/learners.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from arbutuschute import decoding
 from arbutuschute.policy import cascade
 
 RATED_SHARE = 0.05
@@ -12,7 +13,7 @@
     confidence: float = 0.0
 
 
-_decoder = msgspec.json.Decoder(_Confidence)
+_decoder = decoding.make_json_decoder(_Confidence)
 
 
 class Learners:
--- a/arbutuschute/ledgers/bills.py
+++ b/arbutuschute/ledgers/bills.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from arbutuschute import decoding
+
 
 class State(enum.IntEnum):
     """State of an entry; of two copies the higher state counts."""
@@ -35,8 +37,8 @@
     cost: float = 0.0
 
 
-_json_decoder = msgspec.json.Decoder(Bill)
-_pack_decoder = msgspec.msgpack.Decoder(Bill)
+_json_decoder = decoding.make_json_decoder(Bill)
+_pack_decoder = decoding.make_msgpack_decoder(Bill)
 
 
 def encode(bill):
--- a/arbutuschute/ledgers/claims.py
+++ b/arbutuschute/ledgers/claims.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from arbutuschute import decoding
+
 MAX_STORED_BODY_BYTES = 16_384
 
 
@@ -34,7 +36,7 @@
     body: bytes | None = None
 
 
-_decoder = msgspec.json.Decoder(Claim | Outcome)
+_decoder = decoding.make_json_decoder(Claim | Outcome)
 
 
 class Entry:
--- a/arbutuschute/ledgers/leases.py
+++ b/arbutuschute/ledgers/leases.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from arbutuschute import decoding
+
 
 class Claim(msgspec.Struct, frozen=True, tag='lease', tag_field='kind'):
     """A request to acquire or renew the lease ``name``."""
@@ -23,7 +25,7 @@
     until: float
 
 
-_decoder = msgspec.json.Decoder(Claim)
+_decoder = decoding.make_json_decoder(Claim)
 
 
 class Leases:
--- a/arbutuschute/ledgers/pins.py
+++ b/arbutuschute/ledgers/pins.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from arbutuschute import decoding
 from arbutuschute import messages
 
 QUERY_TIMEOUT_S = 0.3
@@ -45,9 +46,7 @@
             signature, expected
         ):
             return None
-        return msgspec.json.decode(
-            base64.urlsafe_b64decode(payload), type=Token
-        )
+        return decoding.decode_json(base64.urlsafe_b64decode(payload), Token)
     except (ValueError, msgspec.DecodeError):
         return None
 
--- a/arbutuschute/links/caller.py
+++ b/arbutuschute/links/caller.py
@@ -9,6 +9,7 @@
 
 from arbutuschute import agreement
 from arbutuschute import core
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute import learners
 from arbutuschute.ledgers import pins
@@ -230,7 +231,7 @@
     organisation = identify(environment, request)
     raw = await _read_body(request)
     try:
-        body = msgspec.json.decode(raw)
+        body = decoding.decode_json(raw)
         shape = msgspec.convert(body, ChatBody)
     except msgspec.DecodeError as error:
         raise errors.BrokenBody(str(error)) from None
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -8,6 +8,7 @@
 
 from arbutuschute import bodies
 from arbutuschute import connections
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute.policy import rate_limits
 
@@ -41,8 +42,8 @@
     ran: str = 'no'
 
 
-_final_decoder = msgspec.json.Decoder(_Final)
-_refusal_decoder = msgspec.json.Decoder(_Refusal)
+_final_decoder = decoding.make_json_decoder(_Final)
+_refusal_decoder = decoding.make_json_decoder(_Refusal)
 
 
 @contextlib.asynccontextmanager
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -11,6 +11,7 @@
 import reactivex
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 
 READ_WAIT_S = 1.0
@@ -91,7 +92,7 @@
                 body = await response.read()
                 if response.status != 200:
                     return result.Failure(errors.StoreDown(url))
-                return result.Success(msgspec.json.decode(body, type=kind))
+                return result.Success(decoding.decode_json(body, kind))
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/arbutuschute/links/rating.py
+++ b/arbutuschute/links/rating.py
@@ -5,6 +5,8 @@
 import aiohttp
 import msgspec
 
+from arbutuschute import decoding
+
 RATING_TIMEOUT_S = 2.0
 FIRST_POLL_DELAY_S = 1.0
 MAX_POLLS = 5
@@ -70,7 +72,7 @@
             if response.status != 200:
                 return None
             body = await response.read()
-        return msgspec.json.decode(body, type=_Rating).rating
+        return decoding.decode_json(body, _Rating).rating
 
     def close(self):
         """Cancel the ratings that have not arrived."""
--- a/arbutuschute/machines/fleet.py
+++ b/arbutuschute/machines/fleet.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from arbutuschute import bodies
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute import messages
 
@@ -214,7 +215,7 @@
             body = await bodies.read_whole(
                 response.content.readany, server.name, MAX_LOAD_BYTES
             )
-            found = msgspec.json.decode(body, type=_LoadBody)
+            found = decoding.decode_json(body, _LoadBody)
     except (
         aiohttp.ClientError,
         asyncio.TimeoutError,
--- a/arbutuschute/machines/instances.py
+++ b/arbutuschute/machines/instances.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 
 LIST_TIMEOUT_S = 2.0
@@ -38,6 +39,9 @@
     instances: tuple[Instance, ...]
 
 
+_decoder = decoding.make_msgpack_decoder(Instance)
+
+
 def encode(instance):
     """Return the bytes of an entry, for peers."""
     return msgspec.msgpack.encode(instance)
@@ -46,7 +50,7 @@
 def decode(raw):
     """Return the entry in a peer's message, or None if it is malformed."""
     try:
-        return msgspec.msgpack.decode(raw, type=Instance)
+        return _decoder.decode(raw)
     except msgspec.DecodeError:
         return None
 
@@ -65,7 +69,7 @@
             body = await response.read()
             if response.status != 200:
                 return result.Failure(errors.StoreDown('instance list'))
-            listed = msgspec.json.decode(body, type=InstanceList)
+            listed = decoding.decode_json(body, InstanceList)
             return result.Success(listed.instances)
     except (
         aiohttp.ClientError,
--- a/arbutuschute/messages.py
+++ b/arbutuschute/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from arbutuschute import decoding
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
 
@@ -163,7 +164,7 @@
     | ShareObservation
 )
 
-_decoder = msgspec.msgpack.Decoder(AnyMessage)
+_decoder = decoding.make_msgpack_decoder(AnyMessage)
 _encoder = msgspec.msgpack.Encoder()
 
 
--- a/arbutuschute/operator_client.py
+++ b/arbutuschute/operator_client.py
@@ -15,6 +15,7 @@
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import fold
 from arbutuschute.contracts import history
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute.ledgers import bills
 from arbutuschute.ledgers import commit
@@ -117,7 +118,7 @@
                 params=query,
                 timeout=aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S),
             ) as response:
-                return msgspec.json.decode(await response.read())
+                return decoding.decode_json(await response.read())
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -12,6 +12,7 @@
 
 from arbutuschute import agreement
 from arbutuschute.contracts import changes
+from arbutuschute import decoding
 from arbutuschute.ledgers import leases
 from arbutuschute.policy import desired
 from arbutuschute import streams
@@ -163,7 +164,7 @@
         if answer is None:
             return None
         try:
-            return msgspec.json.decode(answer, type=_LoadedVersions).versions
+            return decoding.decode_json(answer, _LoadedVersions).versions
         except msgspec.DecodeError:
             return None
 
--- a/arbutuschute/platform/configuration.py
+++ b/arbutuschute/platform/configuration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutuschute.contracts import routes
+from arbutuschute import decoding
 from arbutuschute.policy import canary
 
 TOPIC = 'keyed.op'
@@ -95,7 +96,7 @@
 
     Raise ``msgspec.DecodeError`` if it is malformed.
     """
-    found = msgspec.json.decode(raw, type=_Configuration)
+    found = decoding.decode_json(raw, _Configuration)
     return routes.Table(
         found.version,
         [_make_route(route) for route in found.routes],
@@ -155,7 +156,7 @@
 
     Raise ``msgspec.DecodeError`` if it is malformed.
     """
-    found = msgspec.json.decode(raw, type=_Rollout)
+    found = decoding.decode_json(raw, _Rollout)
     return canary.Order(found.service, found.target, found.duration_s, offset)
 
 
--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import messages
 from arbutuschute.platform import readers
 from arbutuschute.platform import topics
@@ -37,7 +38,7 @@
 # a record within a second or two.
 REWRITE_DELAY_S = (1.0, 12.0)
 
-_decoder = msgspec.json.Decoder(messages.Observation)
+_decoder = decoding.make_json_decoder(messages.Observation)
 
 
 class ObservationTask:
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute.platform import store as store_module
 from arbutuschute.policy import backoff
@@ -332,7 +333,7 @@
 
     def _decode(self, record):
         try:
-            return msgspec.json.decode(record.value, type=_Entry)
+            return decoding.decode_json(record.value, _Entry)
         except msgspec.DecodeError as error:
             self._log.error(
                 'record malformed', key=record.key, cause=str(error)
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute import metrics as metrics_module
 
@@ -243,7 +244,7 @@
 
 def _decode_newest(response):
     try:
-        return result.Success(msgspec.json.decode(response.body, type=_Newest))
+        return result.Success(decoding.decode_json(response.body, _Newest))
     except msgspec.DecodeError as error:
         return result.Failure(errors.StoreDown(f'page: {error}'))
 
@@ -263,7 +264,7 @@
 
 def _decode_offset(response):
     try:
-        found = msgspec.json.decode(response.body, type=_Appended)
+        found = decoding.decode_json(response.body, _Appended)
         return result.Success(found.offset)
     except msgspec.DecodeError as error:
         return result.Failure(errors.StoreDown(f'append: {error}'))
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -313,6 +313,12 @@
                 key=record.key,
                 cause=str(error),
             )
+        except Exception as fault:
+            # Any writer may have written it; it would end each instance that
+            # reads it, and again after its restart.
+            self._log.opt(exception=fault).error(
+                'record fault', topic=self._topic, key=record.key
+            )
 
     def _record_result(self, answer):
         """Record whether reads fail; log when that changes."""
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -6,9 +6,11 @@
 """
 
 import enum
+import typing
 
 import msgspec
 
+from arbutuschute import decoding
 from arbutuschute.policy import baseline
 from arbutuschute.policy import comparison
 from arbutuschute.zones import rendezvous
@@ -42,6 +44,10 @@
 LONG_STREAM_S = 6.0
 
 
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class Phase(enum.Enum):
     """The phase of a roll-out."""
 
@@ -73,10 +79,10 @@
 
     order: int
     service: str
-    number: int
+    number: typing.Annotated[int, msgspec.Meta(ge=0, le=len(SHARES) - 1)]
     phase: Phase
-    elapsed_s: float
-    first_share: float = SHARES[0]
+    elapsed_s: _Seconds
+    first_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = SHARES[0]
 
 
 class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
@@ -85,13 +91,13 @@
     order: int
     service: str
     instance: str
-    new: dict[str, tuple[int, int]]
-    old: dict[str, tuple[int, int]]
-    elapsed_s: float
+    new: dict[str, tuple[_Count, _Count]]
+    old: dict[str, tuple[_Count, _Count]]
+    elapsed_s: _Seconds
 
 
 AnyRecord = Step | Evidence
-_decoder = msgspec.json.Decoder(AnyRecord)
+_decoder = decoding.make_json_decoder(AnyRecord)
 
 
 def encode(record):
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+import typing
 
 import msgspec
 
@@ -59,6 +60,9 @@
     return max(per_s, MIN_LIMIT_PER_S)
 
 
+_NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class LimitReport(msgspec.Struct, frozen=True, tag='limits'):
     """What one instance has heard of limits, and its demand.
 
@@ -69,8 +73,8 @@
 
     instance: str
     region: str
-    demand: dict[str, float] = {}
-    limits: dict[str, tuple[float, float]] = {}
+    demand: dict[str, _NotNegative] = {}
+    limits: dict[str, tuple[_NotNegative, _NotNegative]] = {}
 
     def make_older(self, seconds):
         """Return this report as of ``seconds`` later."""
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import decoding
 from arbutuschute import errors
 
 # Limits of one topic's cache: enough for a peer that is a few reads behind.
@@ -77,8 +78,8 @@
     era: int = 0
 
 
-_decoder = msgspec.msgpack.Decoder(CacheResponse)
-_newest_decoder = msgspec.msgpack.Decoder(NewestResponse)
+_decoder = decoding.make_msgpack_decoder(CacheResponse)
+_newest_decoder = decoding.make_msgpack_decoder(NewestResponse)
 
 
 class TopicCache:
