End requests with an answer when a stop runs out of time

What callers saw (reported by operators of systems like ours): requests that came late in the grace period of a stop were taken and passed on, and cut with no answer at its end, among them some that may run once only.

Cause: on the platform a request was admitted for 2.8 s whatever time it might take, and connections were cut 0.4 s before the end; on the own interface admission stayed open for the whole period.

Change: what runs at the end gets a typed failure that says whether it may have run (interrupted, 502; stopping, 503 if it was not sent). A request that ends before the stop by its deadline is admitted at any time, others for the first 2.8 s, but none that may run once only. The own interface admits none after the balancer has had its time, and marks a request that was sent and not answered as unknown. The end of a request logs what is known of its last attempt.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -110,6 +110,9 @@
                 )
                 work.progress = progress.Progress.HEAD
                 yield response
+        except asyncio.CancelledError:
+            work.record_ran(errors.Ran.UNKNOWN)
+            raise
         except errors.EngineRefused as refusal:
             environment.limit_reports.record(
                 server, refusal.rate_limit, is_success=False
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -39,12 +39,15 @@
 from arbutuschute.policy import migration
 from arbutuschute.policy import pace
 from arbutuschute.policy import retry
+from arbutuschute import shutdown
 from arbutuschute import streams
 from arbutuschute import timer
 from arbutuschute.zones import membership
 
 START_RETRY_S = 0.2
 SETTLE_TIMEOUT_S = 5.0
+# For the answers of requests that are ended at the end of a stop.
+LAST_ANSWERS_S = 0.5
 CHECK_PERIOD_S = 0.02
 UNLIMITED_CONNECTIONS = 0
 KEEPALIVE_S = 30.0
@@ -69,6 +72,7 @@
             settings.statsd.host, settings.statsd.port, prefix='arbutuschute'
         )
     )
+    environment.shutdown = shutdown.Shutdown(settings.name)
     environment.state = 'starting'
     environment.confirmed_until = float('-inf')
     _build_links(environment)
@@ -335,11 +339,16 @@
             'leaving', in_flight=environment.admission.in_flight
         )
         await self._wait_until(lambda: False, limits.leave_s)
+        environment.shutdown.close_admission()
         await self._wait_until(
             lambda: environment.admission.in_flight == 0, limits.drain_s
         )
         environment.state = 'closed'
         cut = environment.admission.in_flight
+        environment.shutdown.end_running()
+        await self._wait_until(
+            lambda: environment.admission.in_flight == 0, LAST_ANSWERS_S
+        )
         await self._wait_until(
             lambda: (
                 environment.bill_replicator.unsettled == 0
--- a/arbutuschute/environment.py
+++ b/arbutuschute/environment.py
@@ -43,6 +43,7 @@
         'retry_budget',
         'sequence',
         'settings',
+        'shutdown',
         'state',
         'timer',
     )
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -160,6 +160,11 @@
     'instance', retry_after_s=1,
 )  # fmt: skip
 
+Interrupted = define(
+    'Interrupted', 'interrupted',
+    'This instance shut down before the request ended', 502, 'instance',
+)  # fmt: skip
+
 
 class _Refusal(Failure):
     """A backend server's refusal.
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -41,6 +41,8 @@
 LEAVE_S = 3.0
 # Reserved for the exit within the time that a stop may take.
 EXIT_MARGIN_S = 0.4
+# Reserved before that for the answers of requests that are ended.
+LAST_ANSWERS_S = 0.3
 CHECK_PERIOD_S = 0.05
 # A start waits at most this long for the steps of roll-outs; a healthy store
 # responds in milliseconds.
@@ -301,16 +303,21 @@
         """Leave the rotation, finish running requests and close."""
         environment = self.environment
         began = self._timer.now()
+        end = began + self._settings.bounds.stop_s - EXIT_MARGIN_S
         environment.stopping_at = began
+        environment.stop_ends_at = end - LAST_ANSWERS_S
         environment.state = 'leaving'
         self._log.info('stopping', in_flight=environment.in_flight)
-        end = began + self._settings.bounds.stop_s - EXIT_MARGIN_S
         await self._wait_until(lambda: False, began + LEAVE_S)
         if self._caller_site is not None:
             await self._caller_site.stop()
             self._ingress.close_idle()
-        await self._wait_until(lambda: environment.in_flight == 0, end)
+        await self._wait_until(
+            lambda: environment.in_flight == 0, environment.stop_ends_at
+        )
         self._log.info('stopped', cut=environment.in_flight)
+        environment.shutdown.end_running()
+        await self._wait_until(lambda: environment.in_flight == 0, end)
         await self.close()
 
     async def close(self):
--- a/arbutuschute/links/caller.py
+++ b/arbutuschute/links/caller.py
@@ -179,7 +179,8 @@
         try:
             work = await read_work(environment, request)
             reply = Reply(environment, request, work)
-            await core.serve(environment, work, reply)
+            async with environment.shutdown.run_request(lambda: work.ran):
+                await core.serve(environment, work, reply)
         except errors.Failure as failure:
             return await self._fail(request, work, reply, failure)
         except ConnectionResetError:
@@ -210,12 +211,15 @@
             headers['X-Request-Id'] = work.id
         if failure.retry_after_s:
             headers['Retry-After'] = str(failure.retry_after_s)
-        return web.Response(
+        response = web.Response(
             status=failure.http_status,
             body=msgspec.json.encode(errors.describe_problem(failure)),
             content_type=PROBLEM_TYPE,
             headers=headers,
         )
+        if self._environment.shutdown.is_admission_closed:
+            response.force_close()
+        return response
 
 
 def _record_duration(environment, work):
--- a/arbutuschute/platform/ingress.py
+++ b/arbutuschute/platform/ingress.py
@@ -269,7 +269,7 @@
             status=status,
             detail=detail,
             attempts=request.attempts,
-            ran=request.ran.value,
+            ran=request.known_ran.value,
             first_event_ms=logs.round_to_ms(request.first_event_s),
             event_gap_ms=logs.round_to_ms(request.event_gap_s),
             took_ms=int(took_ms),
--- a/arbutuschute/traffic/environment.py
+++ b/arbutuschute/traffic/environment.py
@@ -1,5 +1,7 @@
 """The services that request handling uses, in place of globals."""
 
+from arbutuschute import shutdown
+
 
 class Environment:
     """The services of one instance, wired by the composition root.
@@ -31,14 +33,19 @@
         'rate_limits',
         'retry_budget',
         'rollouts',
+        'shutdown',
         'state',
+        'stop_ends_at',
         'stopping_at',
         'table',
     )
 
     def __init__(self, name):
         self.name = name
+        self.shutdown = shutdown.Shutdown(name)
         self.table = None
         self.state = 'starting'
+        # When a stop began, and when the last requests end.
         self.stopping_at = None
+        self.stop_ends_at = None
         self.in_flight = 0
--- a/arbutuschute/traffic/handler.py
+++ b/arbutuschute/traffic/handler.py
@@ -6,8 +6,8 @@
 from arbutuschute.traffic import relay
 from arbutuschute.traffic import whole
 
-# New requests are admitted for this long after a stop began. Later ones could
-# outlast the rest of the grace period and would be cut off.
+# Requests that may outlast the grace period are admitted for this long after a
+# stop began: nearly all end in the rest of it.
 STOP_ADMISSION_S = 2.8
 # Reserved before the deadline to return the response to the caller.
 RESPONSE_MARGIN_S = 0.004
@@ -21,7 +21,10 @@
     environment.in_flight += 1
     left_s = request.deadline_at - RESPONSE_MARGIN_S - environment.now()
     try:
-        async with asyncio.timeout(left_s):
+        async with (
+            environment.shutdown.run_request(lambda: request.known_ran),
+            asyncio.timeout(left_s),
+        ):
             if request.route.is_stream:
                 await relay.run(environment, request, reply)
             else:
@@ -43,8 +46,6 @@
     table = environment.table
     if table is None:
         raise errors.NotReady(environment.name)
-    if is_admission_closed(environment):
-        raise errors.Stopping(environment.name)
     if not environment.freshness.is_valid:
         raise errors.CutOff(environment.name)
     route = table.find_route(request.host, request.path)
@@ -56,13 +57,20 @@
     if request.deadline_at > request.received_at:
         limit = min(limit, request.deadline_at)
     request.deadline_at = limit
+    if environment.stopping_at is not None:
+        _check_stop(environment, request)
+
 
+def _check_stop(environment, request):
+    """Raise ``Stopping`` for a request that could be cut by the stop.
 
-def is_admission_closed(environment):
-    """Return whether a stop has progressed too far for new requests."""
-    if environment.stopping_at is None:
-        return False
-    return environment.now() - environment.stopping_at > STOP_ADMISSION_S
+    One that may run once only must not be: its caller could not repeat it.
+    """
+    if request.deadline_at <= environment.stop_ends_at:
+        return
+    since_s = environment.now() - environment.stopping_at
+    if since_s > STOP_ADMISSION_S or not request.route.is_retryable:
+        raise errors.Stopping(environment.name)
 
 
 def choose_target(route, random):
