Keep what servers state of themselves: leaving, and Retry-After

Change: on both links the head of a response marks a server as leaving, and puts it on hold for the time that it asked for. A server on hold gets no request, also if no other is left: callers are told when the first hold ends (servers-on-hold). What is kept ends with the server's process.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -105,6 +105,8 @@
                         errors.Ran.UNKNOWN
                     )
                 engine.check_echo(response, work.id, server)
+                if engine.is_leaving(response):
+                    server.leaving = True
                 environment.limit_reports.record(
                     server, engine.read_rate_limit(response), response.ok
                 )
--- a/arbutuschute/core.py
+++ b/arbutuschute/core.py
@@ -11,6 +11,7 @@
 from arbutuschute.ledgers import bills
 from arbutuschute.links import engine
 from arbutuschute.machines import fleet
+from arbutuschute.machines import statements
 from arbutuschute.policy import retry
 from arbutuschute import pools
 
@@ -259,6 +260,7 @@
     now = environment.timer.now()
     environment.metrics.count(f'attempts.{failure.code}')
     if isinstance(failure, errors.EngineRefused):
+        statements.apply(server, failure, now, environment.log)
         if failure.reason == 'leaving':
             server.leaving = True
         else:
--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -170,14 +170,19 @@
     """A backend server's refusal.
 
     ``rate_limit`` is the requests a second that it said it accepts, None if
-    it said nothing.
+    it said nothing; ``is_leaving`` whether it said that it leaves; ``hold_s``
+    for how long it wants no requests.
     """
 
     rate_limit = None
+    is_leaving = False
+    hold_s = 0.0
 
-    def mark_rate_limit(self, per_s):
-        """Set the stated rate limit, and return this failure."""
-        self.rate_limit = per_s
+    def mark_stated(self, rate_limit, is_leaving, hold_s):
+        """Set what the server stated, and return this failure."""
+        self.rate_limit = rate_limit
+        self.is_leaving = is_leaving
+        self.hold_s = hold_s
         return self
 
 
@@ -267,6 +272,12 @@
     'reader', 'reason',
 )  # fmt: skip
 
+ServersOnHold = define(
+    'ServersOnHold', 'servers-on-hold',
+    'Every backend server asked to be left alone for a while', 503, 'wanted',
+    retry_after_s=1,
+)  # fmt: skip
+
 # Tests and demos.
 NoFreePort = define(
     'NoFreePort', 'no-free-port', 'All ports have been given out', 500,
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -10,6 +10,7 @@
 from arbutuschute import connections
 from arbutuschute import decoding
 from arbutuschute import errors
+from arbutuschute.machines import statements
 from arbutuschute.policy import rate_limits
 
 CONNECT_TIMEOUT_S = 1.0
@@ -91,7 +92,9 @@
     except (msgspec.DecodeError, errors.AnswerBroken):
         refusal = _Refusal(reason='unclear', ran='unknown')
     failure = errors.EngineRefused(server.name, refusal.reason)
-    failure.mark_rate_limit(read_rate_limit(response))
+    failure.mark_stated(
+        read_rate_limit(response), is_leaving(response), read_hold_s(response)
+    )
     known = refusal.ran == errors.Ran.NO.value
     return failure.mark_ran(errors.Ran.NO if known else errors.Ran.UNKNOWN)
 
@@ -101,6 +104,18 @@
     return rate_limits.parse(response.headers.get('X-Rate-Limit'))
 
 
+def is_leaving(response):
+    """Return whether a response says that its server is leaving."""
+    return statements.parse_leaving(response.headers.get('X-Leaving'))
+
+
+def read_hold_s(response):
+    """Return for how long a server that is full wants no requests."""
+    if response.status != 503:
+        return 0.0
+    return statements.parse_hold_s(response.headers.get('Retry-After'))
+
+
 def check_echo(response, work_id, server):
     """Raise ``AnswerCrossed`` unless the response has our request's id."""
     if response.headers.get('X-Request-Id') != work_id:
--- a/arbutuschute/machines/fleet.py
+++ b/arbutuschute/machines/fleet.py
@@ -54,6 +54,7 @@
 
     __slots__ = (
         '_in_flight_history',
+        'held_until',
         'in_flight',
         'instance',
         'leaving',
@@ -68,6 +69,8 @@
         self._in_flight_history = collections.deque()
         self.leaving = instance.state == 'leaving'
         self.paused_until = float('-inf')
+        # The server wants no requests before this time.
+        self.held_until = float('-inf')
 
     @property
     def name(self):
@@ -123,9 +126,20 @@
             report, at, self._get_in_flight_at(at)
         )
 
+    def is_available(self, now):
+        """Return whether this server accepts new work, as far as it said.
+
+        One that is paused, because it failed, may still be tried.
+        """
+        return not self.leaving and self.held_until <= now
+
     def is_open(self, now):
         """Return whether this server may get new work."""
-        return not self.leaving and self.paused_until <= now
+        return self.is_available(now) and self.paused_until <= now
+
+    def hold(self, until):
+        """Send no new work before ``until``, as the server asked for."""
+        self.held_until = max(self.held_until, until)
 
     def pause(self, until):
         """Send no new work before ``until``."""
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -8,6 +8,7 @@
 from arbutuschute import bodies
 from arbutuschute import connections
 from arbutuschute import errors
+from arbutuschute.machines import statements
 from arbutuschute import messages
 from arbutuschute.platform import names
 from arbutuschute.policy import rate_limits
@@ -109,6 +110,8 @@
         load=load,
         slowness=slowness,
         rate_limit=rate_limits.parse(headers.get(names.RATE_LIMIT)),
+        is_leaving=statements.parse_leaving(headers.get(names.LEAVING)),
+        hold_s=_read_hold_s(response),
     )
     return Attempt(server, response, head)
 
@@ -117,11 +120,20 @@
     refusal = errors.EngineRefused(server.name, str(response.status))
     if response.status == 421:
         return refusal  # Of another server, which has the address now.
-    return refusal.mark_rate_limit(
-        rate_limits.parse(response.headers.get(names.RATE_LIMIT))
+    return refusal.mark_stated(
+        rate_limits.parse(response.headers.get(names.RATE_LIMIT)),
+        statements.parse_leaving(response.headers.get(names.LEAVING)),
+        _read_hold_s(response),
     )
 
 
+def _read_hold_s(response):
+    """Return for how long the server wants no requests, in seconds."""
+    if response.status != 503:
+        return 0.0
+    return statements.parse_hold_s(response.headers.get(names.RETRY_AFTER))
+
+
 def _select_headers(headers):
     dropped = {
         token.strip().lower()
--- a/arbutuschute/platform/names.py
+++ b/arbutuschute/platform/names.py
@@ -14,6 +14,8 @@
 # Requests a second that the server accepts from all instances together, while
 # its responses carry it.
 RATE_LIMIT = 'Server-Limit'
+# '1' in all responses of a server that leaves.
+LEAVING = 'Server-Leaving'
 MODEL = 'Arbutuschute-Model'
 # Prompt tokens and the maximum of output tokens.
 TOKENS = 'Arbutuschute-Token-Count'
--- a/arbutuschute/traffic/answers.py
+++ b/arbutuschute/traffic/answers.py
@@ -11,7 +11,9 @@
     ``origin_proof`` is an opaque proof of which server answered;
     ``confidence`` is the model's own, from 0 to 100; ``slowness`` is a
     factor, 1 for a server of normal speed. ``rate_limit`` is how many
-    requests a second the server accepts from all instances, None for any.
+    requests a second the server accepts from all instances, None for any;
+    ``is_leaving`` says that it takes no new requests, ``hold_s`` for how long
+    it wants none.
     """
 
     status: int
@@ -21,6 +23,8 @@
     load: messages.LoadReport | None = None
     slowness: float = 1.0
     rate_limit: float | None = None
+    is_leaving: bool = False
+    hold_s: float = 0.0
 
     @property
     def is_success(self):
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -4,6 +4,7 @@
 
 from arbutuschute import errors
 from arbutuschute import logs
+from arbutuschute.machines import statements
 from arbutuschute.policy import placement
 
 # Another attempt needs at least this much time before the deadline.
@@ -29,7 +30,7 @@
             return server
         await asyncio.sleep(wait_s)
         # It may have begun to leave meanwhile.
-        if not server.leaving:
+        if server.is_available(environment.now()):
             refuse_quarantined(environment, request)
             return server
 
@@ -38,7 +39,9 @@
     """Return (server, seconds until it may get the request)."""
     listed = environment.directory.find(request.service)
     now = environment.now()
-    live = [server for server in listed if not server.leaving]
+    live = [server for server in listed if server.is_available(now)]
+    if not live:
+        _refuse_if_on_hold(request, listed, now)
     untried = [server for server in live if server.name not in tried]
     if not untried and request.route.is_stream:
         untried = live  # A stream may resume at a server that broke it.
@@ -69,6 +72,15 @@
     return chosen, waits[chosen]
 
 
+def _refuse_if_on_hold(request, listed, now):
+    """Raise ``ServersOnHold`` if servers are live, all of them on hold."""
+    ends = [server.held_until for server in listed if not server.leaving]
+    if ends:
+        failure = errors.ServersOnHold(request.service)
+        failure.retry_after_s = min(ends) - now
+        raise failure.mark_ran(request.ran)
+
+
 def _choose_model_at_limit(environment, request, server):
     """Set the model for a server with a limit, unless a stream has begun."""
     if request.first_event_s is not None:
@@ -225,6 +237,7 @@
 
 def record_head(environment, server, head):
     """Record what a response's head says of the server."""
+    statements.apply(server, head, environment.now(), environment.log)
     if head.load is not None:
         server.record_load(head.load, head.slowness, environment.now())
     environment.limit_reports.record(server, head.rate_limit, head.is_success)
@@ -235,6 +248,7 @@
     request.record_ran(failure.ran)
     # A full server refuses requests; that is not a fault of its version.
     if isinstance(failure, errors.EngineRefused):
+        statements.apply(server, failure, environment.now(), environment.log)
         environment.limit_reports.record(
             server, failure.rate_limit, is_success=False
         )
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -75,6 +75,7 @@
 async def _fetch(environment, request, server):
     left_s = request.deadline_at - environment.now()
     async with environment.open_attempt(server, request, left_s) as attempt:
+        sending.record_head(environment, server, attempt.head)
         if attempt.head.is_success:
             request.progress = progress.Progress.HEAD
         return answers.Answer(attempt.head, await attempt.read_whole())
@@ -82,7 +83,6 @@
 
 def _record_answer(environment, request, server, answer, seconds):
     head = answer.head
-    sending.record_head(environment, server, head)
     if head.is_success:
         environment.crash_reports.record_answer(request.prompt_parts)
     failed = head.is_failure
