--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -14,14 +14,14 @@
 # may be unavailable to the reader alone: once more within the time in which a
 # leaving server has to be noticed, then with growing pauses.
 MIN_DIRECT_BACKOFF_S = 0.5
-MAX_DIRECT_BACKOFF_S = 2.0
+MAX_DIRECT_BACKOFF_S = 4.0
 # Every instance that starts in an outage retries each of its topics. It does
 # so at once when the topic of zone readers can be read; these pauses matter
 # if that topic alone is unavailable.
-MIN_START_BACKOFF_S = 0.25
-MAX_START_BACKOFF_S = 2.0
+MIN_START_BACKOFF_S = 0.5
+MAX_START_BACKOFF_S = 4.0
 # A slow store names the zone's readers within this time.
-KNOWN_WAIT_S = 0.5
+KNOWN_WAIT_S = 1.0
 
 
 def _ignore(_):
