Keep what was acknowledged when the own log is restored from a copy

Change: pages and appends of the log carry an era. In a new one a stream is read from its beginning; a log that lacks known records of the configuration confirms nothing, and the instances write them again at their offsets, in turn. One that finds other records there starts anew. Group commits append the entries of the last minute again (readers drop duplicates by their ids); work that runs at most once is refused until that is done. Leases are computed anew, and fencing numbers contain the era. The stand-in's log can be copied and restored.

--- a/arbutuschute/agreement.py
+++ b/arbutuschute/agreement.py
@@ -189,8 +189,13 @@
 
 
 def _is_window_known(environment):
-    """Return whether this instance has read all claims of the window."""
+    """Return whether this instance has read all claims of the window.
+
+    Claims that the log has lost are first written again by their instances.
+    """
     follower = environment.claims_follower
+    if environment.claim_commit.is_rewriting or not environment.era.is_settled:
+        return False
     if follower.first is None:
         return False
     if follower.first == 0:
--- a/arbutuschute/contracts/history.py
+++ b/arbutuschute/contracts/history.py
@@ -19,19 +19,38 @@
 class History:
     """Applies records to the configuration and serves peers that lag."""
 
-    __slots__ = ('_recent', 'configuration')
+    __slots__ = ('_recent', 'configuration', 'has_diverged')
 
     def __init__(self):
+        # Whether the log has another record at an offset that was applied.
+        self.has_diverged = False
         self.configuration = fold.Configuration()
         self._recent = collections.deque(maxlen=MAX_RECENT_RECORDS)
 
     def apply(self, record):
-        """Apply one record, in order."""
+        """Apply one record, in order.
+
+        Records that are read again are those that are known, unless the log
+        was restored and others were written at their offsets.
+        """
         if record.offset <= self.configuration.offset:
+            self._check_known(record)
             return
         fold.apply_record(self.configuration, record)
         self._recent.append(record)
 
+    def _check_known(self, record):
+        known = self.find_record(record.offset)
+        if known is not None and known.value != record.value:
+            self.has_diverged = True
+
+    def find_record(self, offset):
+        """Return the record at an offset, None if it isn't known."""
+        for record in self._recent:
+            if record.offset == offset:
+                return record
+        return None
+
     def restore_state(self, state):
         """Replace the configuration by ``state`` if it is newer.
 
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -13,10 +13,12 @@
 
 from arbutuschute import admission_control
 from arbutuschute import agreement
+from arbutuschute import configuration_feed
 from arbutuschute import connections
 from arbutuschute.contracts import history
 from arbutuschute import control
 from arbutuschute import environment as environment_module
+from arbutuschute import eras
 from arbutuschute import learners
 from arbutuschute.ledgers import bills
 from arbutuschute.ledgers import claims
@@ -44,7 +46,6 @@
 from arbutuschute import timer
 from arbutuschute.zones import membership
 
-START_RETRY_S = 0.2
 SETTLE_TIMEOUT_S = 5.0
 # For the answers of requests that are ended at the end of a stop.
 LAST_ANSWERS_S = 0.5
@@ -127,11 +128,13 @@
         )
     )
     environment.peers = peer.PeerLink(settings.peers, environment.metrics)
+    environment.era = eras.Era(environment.timer.now, environment.log)
     environment.log_client = log.LogClient(
         environment.http,
         settings.platform.log,
         settings.name,
         settings.control.log_timeout_s,
+        environment.era,
     )
     environment.config_follower = log.LogFollower(
         environment.log_client, streams.CONFIGURATION, environment.timer
@@ -191,6 +194,7 @@
 
     __slots__ = (
         '_control',
+        '_feed',
         '_history',
         '_leases',
         '_runners',
@@ -208,6 +212,11 @@
             self.environment, self._leases
         )
         self._control = control.Control(self.environment, self._history)
+        self._feed = configuration_feed.ConfigurationFeed(
+            self.environment,
+            self._history,
+            self._control.fetch_from_neighbours,
+        )
         observations.build(
             self.environment, self.environment.timer, settings.region,
             self._control.share_observation,
@@ -232,6 +241,7 @@
         environment.config_follower.records.subscribe(self._history.apply)
         environment.claims_follower.records.subscribe(self._apply_claims)
         environment.leases_follower.records.subscribe(self._apply_leases)
+        environment.era.changes.subscribe(self._handle_restore)
         self._start_task(environment.peers.run())
         await self._control.instance_list.read()
         self._control.subscribe()
@@ -239,7 +249,7 @@
             operators.OperatorsLink(environment).make_app(),
             environment.settings.operators,
         )
-        await self._load_configuration()
+        await self._feed.load()
         for coroutine in (
             self._follow_configuration(),
             self._follow_claims(),
@@ -282,38 +292,19 @@
         await web.TCPSite(runner, address.host, address.port).start()
         self._runners.append(runner)
 
-    async def _load_configuration(self):
-        """Load from the log, or from a peer while the store is unavailable."""
-        environment = self.environment
-        while True:
-            state, records, answered = await history.read_start(
-                environment.log_client, streams.CONFIGURATION
-            )
-            if state is not None:
-                self._history.restore_state(state)
-                for record in records:
-                    self._history.apply(record)
-                break
-            self._control.fetch_from_neighbours()
-            await environment.timer.sleep(START_RETRY_S)
-            if environment.configuration.offset >= 0:
-                break
-            reason = 'no snapshot' if answered else 'store down'
-            environment.metrics.count(f'start.waiting.{reason}')
-        environment.config_follower.position = (
-            environment.configuration.offset + 1
-        )
-
     async def _follow_configuration(self):
-        follower = self.environment.config_follower
-        wait_s = log.compute_read_wait(
-            self.environment.settings.control.lease_s
-        )
-        while True:
-            await follower.read_next(wait_s)
-            if follower.gap:
-                follower.gap = False
-                await self._load_configuration()
+        await self._feed.follow()
+        self.environment.log.error('the restored log differs; starting anew')
+        self._stopping.set()
+
+    def _handle_restore(self, era):
+        """Go on with a log that was restored from an older copy."""
+        environment = self.environment
+        self._leases.begin_era(era)
+        environment.orders.handle_restore()
+        environment.claim_commit.handle_restore()
+        environment.bill_commit.handle_restore()
+        self._start_task(self._feed.rewrite_lost())
 
     async def _follow_claims(self):
         follower = self.environment.claims_follower
--- a/arbutuschute/environment.py
+++ b/arbutuschute/environment.py
@@ -18,6 +18,7 @@
         'confirmed_until',
         'crash_reports',
         'demand',
+        'era',
         'fleet',
         'guard',
         'halts',
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -11,13 +11,13 @@
 import msgspec
 from returns import result
 
+from arbutuschute import eras
 from arbutuschute.ledgers import freshness
 from arbutuschute import logs
 from arbutuschute.machines import observations
 from arbutuschute.machines import servers
 from arbutuschute import metrics
 from arbutuschute.platform import engine
-from arbutuschute.platform import eras
 from arbutuschute.platform import followers
 from arbutuschute.platform import ingress
 from arbutuschute.platform import observations as observation_topic
@@ -106,7 +106,7 @@
 
     def _build_followers(self, identity):
         environment = self.environment
-        era = eras.Era(self._log)
+        era = eras.Era(self._timer.now, self._log)
         client = store.Store(
             self._sessions[1], self._settings.store, environment.metrics, era
         )
--- a/arbutuschute/ledgers/commit.py
+++ b/arbutuschute/ledgers/commit.py
@@ -10,6 +10,9 @@
 
 MAX_BATCH_ENTRIES = 500
 RETRY_PAUSE_S = 0.2
+# Copies from which the log is restored are some seconds old.
+KEEP_S = 60.0
+MAX_RECENT_ENTRIES = 50_000
 
 
 def split(record):
@@ -21,13 +24,16 @@
     """Appends entries to one stream in order, retrying until it succeeds.
 
     An append with an unknown outcome is retried: entries carry ids, and
-    readers drop duplicates.
+    readers drop duplicates. Entries of the last minute are kept, to append
+    them again if the log is restored from an older copy.
     """
 
     __slots__ = (
         '_client',
         '_get_period_s',
         '_pending',
+        '_recent',
+        '_rewriting',
         '_stream',
         '_timer',
         '_urgent',
@@ -41,6 +47,10 @@
         self._timer = timer
         self._get_period_s = get_period_s
         self._pending = collections.deque()
+        # Entries in the log, with the time of their append, oldest first.
+        self._recent = collections.deque(maxlen=MAX_RECENT_ENTRIES)
+        # Futures of entries that are appended again.
+        self._rewriting = []
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
         self.failing_since = None
@@ -60,6 +70,23 @@
             self._urgent.set()
         return committed
 
+    @property
+    def is_rewriting(self):
+        """Whether entries that the log has lost are still to be appended."""
+        self._rewriting = [one for one in self._rewriting if not one.done()]
+        return bool(self._rewriting)
+
+    def handle_restore(self):
+        """Append what the log may have lost again, before all others."""
+        lost = [entry for _, entry in self._recent]
+        self._recent.clear()
+        for entry in reversed(lost):
+            committed = asyncio.get_running_loop().create_future()
+            self._pending.appendleft((entry, committed))
+            self._rewriting.append(committed)
+        if lost:
+            self._wake.set()
+
     def cancel_if_unsent(self, committed):
         """Remove an entry not yet sent; return whether it was removed."""
         for queued in self._pending:
@@ -101,6 +128,10 @@
                 self.failing_since = self._timer.now()
             await self._timer.sleep(RETRY_PAUSE_S)
         self.failing_since = None
-        for _, committed in batch:
+        now = self._timer.now()
+        while self._recent and now - self._recent[0][0] > KEEP_S:
+            self._recent.popleft()
+        for entry, committed in batch:
+            self._recent.append((now, entry))
             if not committed.done():
                 committed.set_result(offset.offset)
--- a/arbutuschute/ledgers/leases.py
+++ b/arbutuschute/ledgers/leases.py
@@ -1,8 +1,9 @@
 """Leases in the log: which instance may send orders, and its fencing number.
 
 The first claim in log order holds a lease until it expires by the log's own
-clock; the holder's renewals extend it. The offset of the winning claim is
-the fencing number, so a later holder always has a higher one.
+clock; the holder's renewals extend it. The fencing number is the offset of the
+winning claim in the log's newest era, so a later holder always has a higher
+one, also after the log was restored from an older copy.
 """
 
 import msgspec
@@ -25,16 +26,24 @@
     until: float
 
 
+# More than the offsets of an era.
+FENCES_PER_ERA = 2**40
 _decoder = decoding.make_json_decoder(Claim)
 
 
 class Leases:
     """The state of all leases, computed from the leases stream alone."""
 
-    __slots__ = ('duration_s', 'held')
+    __slots__ = ('_era', 'duration_s', 'held')
 
     def __init__(self, duration_s):
         self.duration_s = duration_s
+        self._era = 0
+        self.held = {}
+
+    def begin_era(self, era):
+        """Compute the leases anew from the log of a new era."""
+        self._era = era
         self.held = {}
 
     def apply_entry(self, raw, offset, time):
@@ -46,7 +55,8 @@
         held = self.held.get(claim.name)
         until = time + self.duration_s
         if held is None or time >= held.until:
-            self.held[claim.name] = Held(claim.holder, offset, until)
+            fence = self._era * FENCES_PER_ERA + offset
+            self.held[claim.name] = Held(claim.holder, fence, until)
         elif held.holder == claim.holder:
             held.until = max(held.until, until)
 
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -33,24 +33,27 @@
     """Records from a position on.
 
     ``first`` is the oldest offset that the log has, ``head`` the next free
-    one.
+    one. ``era`` rises when the log is restored from an older copy.
     """
 
     first: int
     head: int
     records: tuple[Record, ...] = ()
+    era: int = 0
 
 
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
+    era: int = 0
 
 
 class LogClient:
     """Appends to and reads from the log; each call is one HTTP request."""
 
-    __slots__ = ('_session', '_base', '_reader', '_timeout_s')
+    __slots__ = ('_session', '_base', '_era', '_reader', '_timeout_s')
 
-    def __init__(self, session, base, reader, timeout_s):
+    def __init__(self, session, base, reader, timeout_s, era=None):
+        self._era = era
         self._session = session
         self._base = base
         self._reader = reader
@@ -92,7 +95,7 @@
                 body = await response.read()
                 if response.status != 200:
                     return result.Failure(errors.StoreDown(url))
-                return result.Success(decoding.decode_json(body, kind))
+                found = decoding.decode_json(body, kind)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
@@ -100,6 +103,9 @@
             OSError,
         ):
             return result.Failure(errors.StoreDown(url))
+        if self._era is not None:
+            self._era.observe(found.era)
+        return result.Success(found)
 
 
 def compute_read_wait(lease_s):
@@ -118,15 +124,19 @@
     ``records`` is an observable of ``Record``; ``confirmed_at`` is the
     latest time at which the position is known to have been the head;
     ``gap`` is set when the log has dropped records that were not yet read.
+    In a new era the stream is read from its beginning. A log whose head is
+    below ``least_head`` lacks known records, and confirms nothing.
     """
 
     __slots__ = (
         'confirmed_at',
+        'era',
         'failing_since',
         'first',
         'first_time',
         'gap',
         'head',
+        'least_head',
         'position',
         'records',
         '_client',
@@ -143,6 +153,8 @@
         self.records = reactivex.Subject()
         self.position = position
         self.head = None
+        self.era = None
+        self.least_head = 0
         self.confirmed_at = None
         self.failing_since = None
         self.first = None
@@ -170,16 +182,28 @@
                 self.failing_since = requested_at
             return False
         self.failing_since = None
+        if self.era not in (None, page.era):
+            self._restart(page)
+            return True
+        self.era = page.era
         self._check_start(page)
         for record in page.records:
             self._publish(record)
         self.head = page.head
-        if self.position >= page.head:
+        if self.position >= page.head >= self.least_head:
             self.confirmed_at = requested_at
         async with self._advanced:
             self._advanced.notify_all()
         return True
 
+    def _restart(self, page):
+        """Begin to read the stream of another era."""
+        if page.era < self.era:
+            return  # A response from before the log was restored.
+        self.era = page.era
+        self.position = self.first = page.first
+        self.head = page.head
+
     def _check_start(self, page):
         """Skip records that the log has dropped; mark the gap they leave."""
         if self.first is None:
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -63,6 +63,10 @@
             return None
         return self._leases.find_fence(LEASE_NAME, self._holder)
 
+    def handle_restore(self):
+        """Give the lease up: the log may have lost it."""
+        self._valid_until = float('-inf')
+
     async def tick(self, now):
         """Renew or claim the lease if due, then send orders if it is held."""
         environment = self._environment
--- a/arbutuschute/standin/platform.py
+++ b/arbutuschute/standin/platform.py
@@ -60,6 +60,8 @@
     __slots__ = (
         'append_tokens',
         'appends',
+        'copy',
+        'era',
         'injector',
         'instances',
         'last_download_at',
@@ -77,6 +79,9 @@
         self.via = {}
         self.ratings = {}
         self.max_records = max_records
+        # The log at the last copy, and how often it was restored from one.
+        self.copy = {}
+        self.era = 0
         self.appends = collections.Counter()
         self.append_tokens = APPEND_BURST
         self.refilled_at = time.monotonic()
@@ -97,6 +102,8 @@
                 web.post('/control/faults', self.injector.handle_control),
                 web.post('/control/retained', self.handle_retained),
                 web.get('/control/appends', self.handle_appends),
+                web.post('/control/copy', self.handle_copy),
+                web.post('/control/restore', self.handle_restore),
             ]
         )
         return app
@@ -139,7 +146,7 @@
         offset = await self._append(stream, value)
         if self.injector.consume_for('lose_replies', stream):
             return faults.drop_connection(request)
-        return web.json_response({'offset': offset})
+        return web.json_response({'offset': offset, 'era': self.era})
 
     def _append_after_delay(self, stream, value):
         asyncio.ensure_future(self._append(stream, value))
@@ -165,6 +172,7 @@
         page = {
             'first': stream.first,
             'head': stream.head,
+            'era': self.era,
             'records': [
                 {'offset': offset, 'time': at, 'value': value}
                 for offset, at, value in stream.read(start, limit)
@@ -236,6 +244,25 @@
         self.max_records = document['records']
         return web.json_response({})
 
+    async def handle_copy(self, request):
+        """Keep a copy of the log."""
+        self.copy = {
+            name: (stream.first, list(stream.records))
+            for name, stream in self.streams.items()
+        }
+        return web.json_response({})
+
+    async def handle_restore(self, request):
+        """Replace the log by the last copy: what came later is lost."""
+        self.era += 1
+        for name, stream in self.streams.items():
+            first, records = self.copy.get(name, (0, ()))
+            stream.first = first
+            stream.records = collections.deque(records)
+            async with stream.appended:
+                stream.appended.notify_all()
+        return web.json_response({})
+
     async def handle_appends(self, request):
         """Return the number of appends by stream."""
         return web.json_response(dict(self.appends))
--- a/tests/test_restored_rollout.py
+++ b/tests/test_restored_rollout.py
@@ -10,9 +10,9 @@
 import pytest
 from returns import result
 
+from arbutuschute import eras
 from arbutuschute.machines import servers
 from arbutuschute.platform import configuration
-from arbutuschute.platform import eras
 from arbutuschute.platform import rollouts as rollouts_module
 from arbutuschute.platform import store
 from arbutuschute.policy import canary
@@ -90,7 +90,7 @@
     def add(self, name):
         """Return the task of an instance that starts now."""
         known = canary.Rollouts(self.timer.now)
-        era = eras.Era(test_followers.Log())
+        era = eras.Era(self.timer.now, test_followers.Log())
         era.observe(self.store.era)
         era.changes.subscribe(lambda _: known.begin_era())
         self.known.append(known)
