--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 import zlib
 
 import aiohttp
@@ -17,16 +16,11 @@
 
 from arbutuschute import decoding
 from arbutuschute import errors
+from arbutuschute.zones import topic_cache
 
-# Limits of one topic's cache: enough for a peer that is a few reads behind.
-# One that is further behind reads the store.
-MAX_RECORDS = 2000
-MAX_BYTES = 1024 * 1024
 # Larger responses are left to the store: a dozen copies at once would fill
 # the link of the smallest machines (5 Mbit/s) for two seconds.
 MAX_RESPONSE_BYTES = 96 * 1024
-# Larger records are compressed, if the peer accepts that.
-MIN_COMPRESSED_BYTES = 4 * 1024
 MAX_RECORD_BYTES = 8 * 1024 * 1024
 # A healthy peer in the same zone responds within a millisecond; a large
 # response may then take long on a busy link.
@@ -82,102 +76,6 @@
 _newest_decoder = decoding.make_msgpack_decoder(NewestResponse)
 
 
-class TopicCache:
-    """The newest records of one topic, at offsets ``first`` to ``end``.
-
-    ``confirmed_at`` is when the store was last known to have no more.
-    """
-
-    __slots__ = (
-        '_bytes',
-        '_compressed',
-        '_records',
-        '_records_added',
-        'confirmed_at',
-        'end',
-        'era',
-        'first',
-    )
-
-    def __init__(self):
-        self._bytes = 0
-        # Compressed copies of large records, by offset.
-        self._compressed = {}
-        self._records_added = asyncio.Event()
-        self._records = collections.deque()
-        self.first = self.end = self.era = 0
-        self.confirmed_at = float('-inf')
-
-    def extend(self, start, records, confirmed_at, era=0):
-        """Add records read from the store.
-
-        Older ones are cleared after a gap, and at the begin of an era.
-        """
-        has_new_era = era != self.era
-        if has_new_era or start != self.end:
-            self._records.clear()
-            self._compressed.clear()
-            self._bytes = 0
-            self.first = self.end = start
-        if has_new_era:
-            self.era = era
-            self.confirmed_at = confirmed_at
-        self._records.extend(records)
-        self._bytes += sum(map(len, records))
-        self.end += len(records)
-        while self._records and (
-            len(self._records) > MAX_RECORDS or self._bytes > MAX_BYTES
-        ):
-            self._bytes -= len(self._records.popleft())
-            self._compressed.pop(self.first, None)
-            self.first += 1
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if records or has_new_era:
-            added, self._records_added = self._records_added, asyncio.Event()
-            added.set()
-
-    def has(self, start, era):
-        """Return whether all records from ``start`` on are cached."""
-        return era == self.era and start >= self.first
-
-    def copy(self, start):
-        """Return the records from ``start`` on."""
-        skipped = start - self.first
-        if skipped >= len(self._records):
-            return ()
-        return tuple(self._records)[skipped:]
-
-    def compress(self, start, records):
-        """Return records at ``start`` with large ones compressed.
-
-        The second value holds their positions. Each is compressed once, for
-        all peers.
-        """
-        sent = list(records)
-        positions = []
-        for position, raw in enumerate(records):
-            if len(raw) < MIN_COMPRESSED_BYTES:
-                continue
-            offset = start + position
-            if offset not in self._compressed:
-                self._compressed[offset] = zlib.compress(raw)
-            sent[position] = self._compressed[offset]
-            positions.append(position)
-        return tuple(sent), tuple(positions)
-
-    async def wait_past(self, start, era, seconds):
-        """Wait at most ``seconds`` until there is a record at ``start``.
-
-        Return at once if the era is another one.
-        """
-        try:
-            async with asyncio.timeout(seconds):
-                while era == self.era and self.end <= start:
-                    await self._records_added.wait()
-        except TimeoutError:
-            return
-
-
 class _Newest:
     """The newest records of one topic, by key."""
 
@@ -246,7 +144,7 @@
 
     def _pack(self, topic, key, offset, value):
         """Return a ``KeyedRecord``; a large value is compressed once."""
-        if len(value) < MIN_COMPRESSED_BYTES:
+        if len(value) < topic_cache.MIN_COMPRESSED_BYTES:
             return KeyedRecord(key, offset, value)
         raw, packed = self._compressed.get((topic, key), (None, None))
         if raw is not value:
@@ -258,7 +156,7 @@
         """Add records read from the store."""
         cache = self._by_topic.get(topic)
         if cache is None:
-            cache = self._by_topic[topic] = TopicCache()
+            cache = self._by_topic[topic] = topic_cache.TopicCache()
         cache.extend(start, records, confirmed_at, era)
 
     async def get_records(
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -17,6 +17,7 @@
 from arbutuschute.platform import readers
 from arbutuschute.platform import store
 from arbutuschute.zones import log_cache
+from arbutuschute.zones import topic_cache
 from tests import stepping
 from tests import test_followers
 
@@ -65,7 +66,7 @@
 
 async def test_cache_is_bounded_and_cleared_after_a_gap():
     _, cache = make_cache()
-    cache.extend(TOPIC, 0, (b'x',) * (log_cache.MAX_RECORDS + 10), 0.0)
+    cache.extend(TOPIC, 0, (b'x',) * (topic_cache.MAX_RECORDS + 10), 0.0)
     assert await cache.get_records(TOPIC, 9, 0.0) is None
     assert len((await cache.get_records(TOPIC, 10, 0.0)).records) == 2000
     cache.extend(TOPIC, 9000, (b'a',), 0.0)
@@ -133,6 +134,57 @@
     assert lease.confirmed_at >= 20.0
 
 
+async def test_records_of_another_era_are_not_served():
+    _, cache = make_cache()
+    cache.extend(TOPIC, 0, (b'a', b'b'), 0.0, era=1)
+    held = asyncio.ensure_future(cache.get_records(TOPIC, 2, 30.0, era=1))
+    await asyncio.sleep(0)
+    cache.extend(TOPIC, 2, (b'c',), 0.0, era=2)
+    assert await held is None
+    assert await cache.get_records(TOPIC, 2, 0.0, era=1) is None
+    assert await cache.get_records(TOPIC, 1, 0.0, era=2) is None
+    found = await cache.get_records(TOPIC, 2, 0.0, era=2)
+    assert (found.records, found.era) == ((b'c',), 2)
+
+
+PASTS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 12),  # Records appended in the era.
+        strategies.integers(0, 12),  # Records that the next copy keeps.
+        strategies.integers(1, 5),  # Records a read.
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+@given(pasts=PASTS, starts=strategies.lists(strategies.integers(0, 40)))
+def test_cached_records_are_of_the_era_that_is_asked_for(pasts, starts):
+    """Differential: the cache against the log of each era."""
+
+    async def play():
+        _, cache = make_cache()
+        logs, kept = {}, []
+        for era, (appended, keeps, size) in enumerate(pasts):
+            first = len(kept)
+            logs[era] = kept + [b'%d/%d' % (era, n) for n in range(appended)]
+            cache.extend(TOPIC, first, (), 0.0, era)
+            for at in range(first, len(logs[era]), size):
+                read = tuple(logs[era][at : at + size])
+                cache.extend(TOPIC, at, read, 0.0, era)
+            for start in starts:
+                for asked in logs:
+                    found = await cache.get_records(
+                        TOPIC, start, 0.0, era=asked
+                    )
+                    if found is not None:
+                        assert asked == era
+                        assert list(found.records) == logs[asked][start:]
+            kept = logs[era][:keeps]
+
+    asyncio.run(play())
+
+
 @given(
     cuts=strategies.lists(strategies.integers(1, 30), max_size=30),
     starts=strategies.lists(strategies.integers(0, 400), max_size=20),
