Follow a zone's reader of an older build, which names no era

Seen with python -m tests.versions: 25 checks passed, one failed ('instances in one zone: timed out waiting for: new follows'). A new instance took the missing era of an old reader for another one, left it and took its place. A response that names no era is believed, as before.

--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -148,8 +148,8 @@
             return None
         self._is_reader_answering = True
         response = answer.unwrap()
-        if response.era != era:
-            return None  # A build that doesn't know of eras.
+        if response.era not in (None, era):
+            return None
         if response.age_s > read_limits.max_age_s:
             self._stale_cause = f'{topic} is {response.age_s:.2f} s old'
             return None
@@ -162,7 +162,7 @@
             start,
             response.records,
             response.held_s - response.age_s,
-            response.era,
+            era,
         )
 
     @property
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -38,7 +38,8 @@
     ``age_s`` is how long before the response the store was known to have
     nothing after ``end``; ``held_s`` is how long the request was held. Both
     are on the responding instance's clock. ``compressed`` holds the positions
-    of the records that are compressed.
+    of the records that are compressed. Without an ``era`` the response is of
+    a build that knows of none.
     """
 
     start: int
@@ -47,7 +48,7 @@
     held_s: float
     records: tuple[bytes, ...]
     compressed: tuple[int, ...] = ()
-    era: int = 0
+    era: int | None = None
 
 
 class KeyedRecord(msgspec.Struct, frozen=True, array_like=True):
