--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import time
 
 import pytest
@@ -159,9 +158,7 @@
     arrived = len(world.engines['i-1'].seen)
     await wait_for_new_era(world)
     for number in range(12):
-        path = f'/again/{number}'
-        with contextlib.suppress(AssertionError):
-            assert await test_zone_peers.is_served(world, path)
+        assert await test_zone_peers.is_served(world, f'/again/{number}')
         await asyncio.sleep(0.05)
     assert len(world.engines['i-1'].seen) == arrived
     world.list_engine(world.engines['i-1'], born=2, sequence=1)
