--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -263,6 +263,10 @@
 StoreGap = define(
     'StoreGap', 'store-gap', 'Records of the store are gone', 503, 'topic'
 )
+ReaderStarting = define(
+    'ReaderStarting', 'reader-starting',
+    "The zone's reader has not read the topic yet", 503, 'reader',
+)  # fmt: skip
 StoreRestored = define(
     'StoreRestored', 'store-restored',
     'The store was restored from an older copy', 503, 'era',
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -30,9 +30,10 @@
 # before they take over.
 WIDE_LINK_MBPS = 100.0
 THIN_LINK_DELAY_S = 1.0
-# A reader that has started itself responds once it has read a topic. Its zone
-# peers wait this long for that before they read the store.
+# A reader that has started itself has read a topic within this time. Until
+# then zone peers that start ask it again; a silent one is passed by at once.
 NEWEST_WAIT_S = 1.0
+NEWEST_RETRY_S = 0.1
 # A reader that failed is not queried for this long; the store is read instead.
 RETRY_AFTER_S = 0.5
 CHECK_PERIOD_S = 0.5
@@ -173,7 +174,7 @@
     async def read_newest(self, topic, wait_s=NEWEST_WAIT_S):
         """Return a ``Snapshot`` of the zone's reader; None without one.
 
-        The reader may take ``wait_s`` to read the topic itself. A large
+        A reader that starts, too, has ``wait_s`` to read the topic. A large
         record would otherwise cross the link between regions once for each
         instance that starts.
         """
@@ -182,9 +183,7 @@
             return None
         if self._timer.now() < self._retry_at:
             return None
-        answer = await log_cache_module.fetch_newest(
-            self._session, entry.address, topic, wait_s
-        )
+        answer, requested_at = await self._fetch_newest(entry, topic, wait_s)
         if isinstance(answer, result.Failure):
             failure = answer.failure()
             if isinstance(failure, errors.ReaderSilent):
@@ -199,10 +198,25 @@
                 for record in response.records
             ),
             response.end,
-            response.held_s - response.age_s,
+            requested_at - response.age_s,
             response.era,
         )
 
+    async def _fetch_newest(self, entry, topic, wait_s):
+        """Return the reader's answer, and when it was requested."""
+        until = self._timer.now() + wait_s
+        while True:
+            requested_at = self._timer.now()
+            answer = await log_cache_module.fetch_newest(
+                self._session, entry.address, topic
+            )
+            is_starting = isinstance(answer, result.Failure) and isinstance(
+                answer.failure(), errors.ReaderStarting
+            )
+            if not is_starting or requested_at >= until:
+                return answer, requested_at
+            await self._timer.sleep(NEWEST_RETRY_S)
+
     def share_newest(self, topic, records, end, confirmed_at, era):
         """Keep the newest records for zone peers that start.
 
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -57,12 +57,13 @@
 class Snapshot(msgspec.Struct, frozen=True):
     """The newest record of each key; new ones follow from ``end`` on.
 
-    ``current_after_s`` is that of a ``Page``.
+    ``confirmed_at`` is set if a zone peer answered: when the store had nothing
+    newer, on this instance's clock.
     """
 
     records: tuple[Record, ...]
     end: int
-    current_after_s: float | None = None
+    confirmed_at: float | None = None
     era: int = NO_ERA
 
 
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -14,7 +14,7 @@
 # may be unavailable to the reader alone: once more within the time in which a
 # leaving server has to be noticed, then with growing pauses.
 MIN_DIRECT_BACKOFF_S = 0.5
-MAX_DIRECT_BACKOFF_S = 4.0
+MAX_DIRECT_BACKOFF_S = 2.0
 # Every instance that starts in an outage retries each of its topics. It does
 # so at once when the topic of zone readers can be read; these pauses matter
 # if that topic alone is unavailable.
@@ -145,10 +145,11 @@
 
         What the reader has may be old: then new records are to be read next.
         """
-        requested_at = self._timer.now()
         snapshot = await self._fetch_snapshot()
         if snapshot is not None:
-            return self._accept_snapshot(snapshot, requested_at, 'zone reader')
+            return self._accept_snapshot(
+                snapshot, snapshot.confirmed_at, 'zone reader'
+            )
         requested_at = self._timer.now()
         answer = await self._store.read_newest(self._topic)
         if isinstance(answer, result.Failure):
@@ -167,9 +168,9 @@
             return None
         return snapshot
 
-    def _accept_snapshot(self, snapshot, requested_at, source):
+    def _accept_snapshot(self, snapshot, confirmed_at, source):
         """Apply a snapshot; return ``Result`` with whether it is recent."""
-        self.confirmed_at = requested_at + (snapshot.current_after_s or 0.0)
+        self.confirmed_at = confirmed_at
         self._apply_snapshot(snapshot)
         age_s = self._timer.now() - self.confirmed_at
         self._log.info(
@@ -214,7 +215,7 @@
         if isinstance(found, store_module.Snapshot):
             if (found.era, found.end) >= (self.era, self.position):
                 return self._accept_snapshot(
-                    found, requested_at, 'zone reader'
+                    found, found.confirmed_at, 'zone reader'
                 )
             found = None
         self._was_long_poll = found is not None
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -63,12 +63,11 @@
 class NewestResponse(msgspec.Struct, frozen=True):
     """The newest record of each key; new ones follow from ``end`` on.
 
-    The ages are those of a ``CacheResponse``.
+    ``age_s`` is that of a ``CacheResponse``.
     """
 
     end: int
     age_s: float
-    held_s: float
     records: tuple[KeyedRecord, ...]
     era: int = 0
 
@@ -92,15 +91,13 @@
 class LogCache:
     """The caches of all topics that this instance reads, for zone peers."""
 
-    __slots__ = ('_by_topic', '_compressed', '_newest', '_newest_added',
-                 '_now')  # fmt: skip
+    __slots__ = ('_by_topic', '_compressed', '_newest', '_now')
 
     def __init__(self, now):
         self._by_topic = {}
         # Compressed copies of large records, by topic and key.
         self._compressed = {}
         self._newest = {}
-        self._newest_added = asyncio.Event()
         self._now = now
 
     def set_newest(self, topic, records, end, confirmed_at, era=0):
@@ -109,24 +106,14 @@
         ``records`` maps keys to (offset, value) and may change until the
         next call.
         """
-        is_first = topic not in self._newest
         self._newest[topic] = _Newest(records, end, confirmed_at, era)
-        if is_first:
-            added, self._newest_added = self._newest_added, asyncio.Event()
-            added.set()
 
-    async def get_newest(self, topic, wait_s):
-        """Return a ``NewestResponse``, None if the peer must read the store.
+    def has_newest(self, topic):
+        """Return whether this instance has read a topic yet."""
+        return topic in self._newest
 
-        Wait at most ``wait_s`` until this instance has read the topic.
-        """
-        received_at = self._now()
-        try:
-            async with asyncio.timeout(wait_s):
-                while topic not in self._newest:
-                    await self._newest_added.wait()
-        except TimeoutError:
-            return None
+    def get_newest(self, topic):
+        """Return a ``NewestResponse``, None if it would be too large."""
         found = self._newest[topic]
         records = tuple(
             self._pack(topic, key, offset, value)
@@ -134,14 +121,8 @@
         )
         if sum(len(record.value) for record in records) > MAX_RESPONSE_BYTES:
             return None
-        now = self._now()
-        return NewestResponse(
-            found.end,
-            now - found.confirmed_at,
-            now - received_at,
-            records,
-            found.era,
-        )
+        age_s = self._now() - found.confirmed_at
+        return NewestResponse(found.end, age_s, records, found.era)
 
     def _pack(self, topic, key, offset, value):
         """Return a ``KeyedRecord``; a large value is compressed once."""
@@ -197,18 +178,15 @@
     async def answer(self, request):
         """Respond to a zone peer's HTTP request."""
         if request.path == NEWEST_PATH:
-            return await self._answer_newest(request.query)
+            return self._answer_newest(request.query)
         return await self._answer_tail(request.query)
 
-    async def _answer_newest(self, query):
-        try:
-            topic = query['topic']
-            wait_s = float(query['wait_s'])
-        except (KeyError, ValueError):
+    def _answer_newest(self, query):
+        if 'topic' not in query:
             return web.Response(status=400)
-        if not 0.0 <= wait_s <= MAX_WAIT_S:
-            return web.Response(status=400)
-        return _make_response(await self.get_newest(topic, wait_s))
+        if not self.has_newest(query['topic']):
+            return web.Response(status=503)
+        return _make_response(self.get_newest(query['topic']))
 
     async def _answer_tail(self, query):
         try:
@@ -253,15 +231,15 @@
     )  # fmt: skip
 
 
-async def fetch_newest(session, address, topic, wait_s):
+async def fetch_newest(session, address, topic):
     """Request the newest record of each key from the peer at ``address``.
 
-    Return ``Result`` with a ``NewestResponse`` or a failure of ``fetch``.
+    Return ``Result`` with a ``NewestResponse`` or a failure of ``fetch``,
+    ``ReaderStarting`` if the peer has not read the topic yet.
     """
     return await _get(
-        session, address, NEWEST_PATH,
-        {'topic': topic, 'wait_s': f'{wait_s:.3f}'}, wait_s, _expand_newest,
-    )  # fmt: skip
+        session, address, NEWEST_PATH, {'topic': topic}, 0.0, _expand_newest
+    )
 
 
 async def _get(session, address, path, query, wait_s, decode):
@@ -287,6 +265,8 @@
         zlib.error,
     ) as error:
         return result.Failure(errors.ReaderSilent(address, repr(error)))
+    if response.status == 503:
+        return result.Failure(errors.ReaderStarting(address))
     return result.Failure(errors.StoreGap(topic))
 
 
