--- a/arbutuschute/zones/topic_cache.py
+++ b/arbutuschute/zones/topic_cache.py
@@ -41,7 +41,7 @@
     def extend(self, start, records, confirmed_at, era=0):
         """Add records read from the store.
 
-        Older ones are cleared after a gap, and at the begin of an era.
+        Older ones are cleared after a gap, and at the start of an era.
         """
         has_new_era = era != self.era
         if has_new_era or start != self.end:
