Divide a limit by the instances known last when no one is heard

What callers saw: nothing.

Cause: shares are worked out from the reports that are heard. In an outage of the store none is heard, and those heard before expire, so that each instance counts itself alone and takes the whole limit.

Change: the reader of each zone counts the zone peers that query it and tells the number as an observation, once it has settled. An instance that hears fewer than it knows of divides a limit by the number known; one that knows of none in an outage counts the planned size. The own interface counts its known members. Small shares begin at different moments, as 30 instances otherwise sent their turns at once.

Measured: tests/test_rate_limits.py, 4 failed before (7, 30 and 195 instances that hear no one, and hearing that stops); all pass. Samples of the outer surface: the query of zone peers names the peer, one more observation.

--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -220,6 +220,7 @@
         observations.build(
             self.environment, self.environment.timer, settings.region,
             self._control.share_observation,
+            self.environment.membership.count_known,
         )  # fmt: skip
         self._runners = []
         self._tasks = []
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -31,6 +31,7 @@
 from arbutuschute.policy import retry_budget
 from arbutuschute import timer as timer_module
 from arbutuschute.traffic import environment as environment_module
+from arbutuschute.zones import fleet_size
 from arbutuschute.zones import log_cache
 
 # Keys may be used for revoke_s after they were revoked; this much of it is
@@ -58,8 +59,8 @@
     """One process from start to stop."""
 
     __slots__ = ('_caller_site', '_ingress', '_log', '_log_cache', '_path',
-                 '_runners', '_sessions', '_settings', '_stopping', '_tasks',
-                 '_timer', '_was_ready', 'environment', 'observations',
+                 '_peers', '_runners', '_sessions', '_settings', '_stopping',
+                 '_tasks', '_timer', '_was_ready', 'environment', 'observations',
                  'operator', 'reader', 'rollout_task', 'servers')  # fmt: skip
 
     def __init__(self, settings, path, loop):
@@ -70,7 +71,8 @@
         self._log = logs.make_line_logger(instance=settings.name)
         self._sessions = [engine.make_session(), _make_store_session()]
         self.environment = self._build_environment()
-        self._log_cache = log_cache.LogCache(self._timer.now)
+        self._peers = fleet_size.PeerCounter(self._timer.now)
+        self._log_cache = log_cache.LogCache(self._timer.now, self._peers)
         self._build_followers(identity)
         self._ingress = ingress.Ingress(self.environment)
         self._caller_site = None
@@ -91,6 +93,10 @@
         environment.location = (
             settings.zone, settings.region, settings.regions_by_zone
         )  # fmt: skip
+        environment.fleet_size = fleet_size.FleetSize(
+            {settings.zone: settings.region, **settings.regions_by_zone},
+            lambda: self.observations.is_current,
+        )
         environment.directory = servers.Directory(now)
         environment.freshness = freshness.Freshness(
             now, _compute_lease_s(settings)
@@ -136,6 +142,11 @@
         )  # fmt: skip
         observations.build(
             environment, self._timer, settings.region,
+            self.observations.publish, environment.fleet_size.count,
+        )  # fmt: skip
+        fleet_size.SizeReports(
+            environment.fleet_size, self._peers, self._timer,
+            (settings.zone, settings.region), lambda: self.reader.is_reader,
             self.observations.publish,
         )  # fmt: skip
         self.rollout_task = rollouts.RolloutTask(
--- a/arbutuschute/messages.py
+++ b/arbutuschute/messages.py
@@ -9,13 +9,15 @@
 from arbutuschute import decoding
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
+from arbutuschute.zones import fleet_size
 
-# What instances tell each other of servers.
+# What instances tell each other of servers, and of themselves.
 Observation = (
     quarantine.Crash
     | quarantine.Answered
     | quarantine.Verdict
     | rate_limits.LimitReport
+    | fleet_size.ZoneSize
 )
 
 
--- a/arbutuschute/platform/observations.py
+++ b/arbutuschute/platform/observations.py
@@ -17,6 +17,7 @@
 from arbutuschute.policy import backoff
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
+from arbutuschute.zones import fleet_size
 
 TOPIC = 'keyed.observations'
 # The store answers a read as soon as there is a record. Each read is a priced
@@ -27,6 +28,8 @@
 # and the reader retries after the pause: observations may come late.
 MAX_AGE_S = 10.0
 PAUSE_AFTER_FAILURE_S = 1.0
+# A read that waits for records confirms them up to this time ago.
+CURRENT_AGE_S = 3.0
 # Collects records that are written at the same moment into one read.
 BATCH_S = 0.3
 KEYS_PER_KIND = 8
@@ -76,6 +79,12 @@
         """Whether the records made before this start have been read."""
         return self._topic.position is not None
 
+    @property
+    def is_current(self):
+        """Whether what others report is heard at the moment."""
+        age_s = self._timer.now() - self._topic.confirmed_at
+        return age_s < CURRENT_AGE_S
+
     def publish(self, observation):
         """Queue an observation for the other instances.
 
@@ -167,8 +176,10 @@
     def _make_key(self, observation):
         """Return a key: the newest report replaces the instance's last one.
 
-        Verdicts have their own, others take turns.
+        Verdicts and the sizes of zones have their own, others take turns.
         """
+        if isinstance(observation, fleet_size.ZoneSize):
+            return f'zone/{observation.zone}'[:MAX_KEY_BYTES]
         if isinstance(observation, rate_limits.LimitReport):
             return f'limits/{self._name}'
         if isinstance(observation, quarantine.Verdict):
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -144,15 +144,17 @@
     """The limits of servers, and when this instance may send to each.
 
     Servers are named by their incarnation; a pool is what servers are chosen
-    from, such as a service.
+    from, such as a service. ``count_instances(region)`` returns how many
+    instances are known to run in a region, or in all for None.
     """
 
-    __slots__ = ('_buckets', '_computed_at', '_limits', '_name', '_now',
-                 '_own', '_region', '_reports', '_shares',
+    __slots__ = ('_buckets', '_computed_at', '_count_instances', '_limits',
+                 '_name', '_now', '_own', '_region', '_reports', '_shares',
                  '_statements')  # fmt: skip
 
-    def __init__(self, now, name, region):
+    def __init__(self, now, name, region, count_instances=lambda region: 1):
         self._now = now
+        self._count_instances = count_instances
         self._name = name
         self._region = region
         # This instance's last report, once the others can know of it.
@@ -251,11 +253,23 @@
     def _refill(self, server, share):
         """Return how many requests may be sent; below 0 if turns are taken."""
         now = self._now()
-        tokens, at = self._buckets.get(server, (1.0, now))
+        if server not in self._buckets:
+            self._buckets[server] = self._get_first_tokens(server, share), now
+        tokens, at = self._buckets[server]
         tokens = min(tokens + share * (now - at), 1.0 + share * BURST_S)
         self._buckets[server] = tokens, now
         return tokens
 
+    def _get_first_tokens(self, server, share):
+        """Return how much of a turn is saved when a limit is first heard.
+
+        All instances hear of it at about the same time. With small shares
+        their turns would come at the same moment again and again.
+        """
+        if share >= MIN_SHARE_PER_S:
+            return 1.0
+        return rendezvous.hash_to_unit_interval(f'{server}\0{self._name}')
+
     def _find_limits(self):
         """Return the newest statement on each server that has a limit."""
         now = self._now()
@@ -303,7 +317,12 @@
         Instances of the server's region share it, if there are any.
         """
         limit = self._limits[server]
-        demand = self._list_demand(pool, region) or self._list_demand(pool)
+        demand = self._list_demand(pool, region)
+        if not demand:
+            region, demand = None, self._list_demand(pool)
+        unheard = max(0, self._count_instances(region) - len(demand))
+        if unheard:
+            return self._compute_share_beside(limit, demand, unheard)
         count = max(1, int(limit / MIN_SHARE_PER_S))
         names = demand
         if len(demand) > count:
@@ -312,6 +331,16 @@
             return 0.0
         return limit * demand[self._name] / sum(demand[n] for n in names)
 
+    def _compute_share_beside(self, limit, demand, unheard):
+        """Return this instance's part beside instances it can't hear.
+
+        They may not hear it either, so each of them is taken to have as much
+        demand as the busiest that is known.
+        """
+        own = demand.get(self._name, 0.0)
+        busiest = max(demand.values())
+        return limit * own / (sum(demand.values()) + unheard * busiest)
+
     def _list_demand(self, pool, region=None):
         """Return the demand on a pool by instance, of one region or all."""
         now = self._now()
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -91,10 +91,12 @@
 class LogCache:
     """The caches of all topics that this instance reads, for zone peers."""
 
-    __slots__ = ('_by_topic', '_compressed', '_newest', '_now')
+    __slots__ = ('_by_topic', '_compressed', '_newest', '_now', '_peers')
 
-    def __init__(self, now):
+    def __init__(self, now, peers=None):
         self._by_topic = {}
+        # Counts the zone peers that query, unless it is None.
+        self._peers = peers
         # Compressed copies of large records, by topic and key.
         self._compressed = {}
         self._newest = {}
@@ -200,6 +202,8 @@
             return web.Response(status=400)
         if not 0.0 <= wait_s <= MAX_WAIT_S:
             return web.Response(status=400)
+        if self._peers is not None and 'peer' in query:
+            self._peers.record(query['peer'])
         return _make_response(
             await self.get_records(topic, start, wait_s, compresses, era)
         )
@@ -211,9 +215,11 @@
     return web.Response(body=msgspec.msgpack.encode(found))
 
 
-async def fetch(session, address, topic, start, wait_s, era=0):
+async def fetch(session, address, topic, start, wait_s, era=0, peer=''):
     """Request the records from ``start`` on from the peer at ``address``.
 
+    ``peer`` is the own address, by which the other one counts its peers.
+
     Return ``Result`` with a ``CacheResponse``; the failure is ``StoreGap``
     if the peer can't serve those records, ``ReaderSilent`` if it didn't
     respond in time.
@@ -224,6 +230,7 @@
         'wait_s': f'{wait_s:.3f}',
         'compresses': '1',
         'era': str(era),
+        'peer': peer,
     }
     return await _get(
         session, address, PATH, query, wait_s,
--- a/arbutuschute/zones/membership.py
+++ b/arbutuschute/zones/membership.py
@@ -221,6 +221,15 @@
             )
         ]
 
+    def count_known(self, region=None):
+        """Return the number of known instances in a region, or of all.
+
+        This one and silent ones are among them.
+        """
+        return (region in (None, self.region)) + sum(
+            region in (None, member.region) for member in self.members.values()
+        )
+
     def count_live(self, region):
         """Return the number of live members in a region, without ourselves."""
         return sum(
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from arbutuschute.policy import rate_limits
+from arbutuschute.zones import fleet_size
 from tests.platform import conftest
 from tests.platform import standin
 
@@ -232,3 +233,35 @@
     (resumed,) = other.requests
     assert resumed['Last-Event-Id'] == '3'
     assert resumed['Arbutuschute-Model'] == 'small'
+
+
+# Guards against an instance that takes the whole of a limit because nobody is
+# heard: the store is away when a server begins to limit requests.
+async def test_limit_in_an_outage_is_shared_with_the_instances_known_last(
+    world,
+):
+    await world.start([make_answer([6.0])])
+    size = fleet_size.ZoneSize('a', 'r', 6)
+    world.store.put_raw(TOPIC, 'zone/a', msgspec.json.encode(size))
+    environment = world.instance.environment
+    await conftest.wait_for(lambda: environment.fleet_size.count() == 6)
+    world.store.broken_topics.add(TOPIC)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    number = 0
+    while loop.time() - began < 4.0:
+        number += 1
+        await send(world, number)
+        await asyncio.sleep(0.02)
+    assert 2 <= count(world, 'i-0') <= 1.5 * 4.0 * 6.0 / 6 + 2
+
+
+async def test_reader_tells_the_size_of_its_zone(world):
+    await world.start()
+    await conftest.wait_for(
+        lambda: any(
+            raw[1:].startswith(b'zone/a')
+            for raw in world.store.topics.get(TOPIC, ())
+        )
+    )
+    assert world.instance.environment.fleet_size.get('a') == 1
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -27,8 +27,9 @@
 class Fleet:
     """Instances that hear a server's limit and tell each other late."""
 
-    def __init__(self, names, delay_s=0.0, region='r'):
+    def __init__(self, names, delay_s=0.0, region='r', known_count=1):
         self.clock = Clock()
+        self.known_count = known_count
         self.delay_s = delay_s
         self.region = region
         self.instances = {}
@@ -44,7 +45,9 @@
 
     def start(self, name):
         now = self.clock.now
-        self.instances[name] = rate_limits.RateLimits(now, name, self.region)
+        self.instances[name] = rate_limits.RateLimits(
+            now, name, self.region, lambda _: self.known_count
+        )
         self.demands[name] = rate_limits.Demand(now)
         self.reported_at[name] = 0.0
         for report in self.last_reports.values():
@@ -94,8 +97,11 @@
         """Return the most requests in a window that begins at ``since``."""
         times = [at for at, _ in self.sent if at >= since]
         return max(
-            bisect.bisect_left(times, start + WINDOW_S) - number
-            for number, start in enumerate(times)
+            (
+                bisect.bisect_left(times, start + WINDOW_S) - number
+                for number, start in enumerate(times)
+            ),
+            default=0,
         )
 
 
@@ -290,3 +296,59 @@
     for number in range(409):
         found.apply(rate_limits.LimitReport(f'i{number}', 'r'))
     assert 410 / found.report_period_s <= 1.1 * rate_limits.MAX_REPORTS_PER_S
+
+
+# Guards against an instance that takes the whole of a server's limit because
+# it hears of no other: the store, over which they share it, is down.
+@pytest.mark.parametrize('count', [7, 30, 195])
+def test_limit_is_kept_while_no_instance_hears_another(count):
+    names = [f'i{number}' for number in range(count)]
+    fleet = Fleet(names, known_count=count)
+    fleet.muted.update(names)
+    fleet.run(4.0, None, 4.0, random.Random(1))
+    for found in fleet.instances.values():
+        found.record('s', 4.0)
+    began = fleet.clock.seconds + WINDOW_S
+    fleet.run(16.0, 4.0, 4.0, random.Random(1))
+    assert fleet.count_most(began) <= MOST_FACTOR * WINDOW_S * 4.0 + MOST_EXTRA
+
+
+# Guards against the same after the reports that were heard have expired.
+def test_limit_is_kept_when_hearing_stops():
+    names = [f'i{number}' for number in range(7)]
+    fleet = Fleet(names, known_count=7)
+    fleet.run(8.0, 4.0, 8.0, random.Random(1))
+    fleet.muted.update(names)
+    lifetime_s = (
+        rate_limits.REPORT_LIFETIME_PERIODS * rate_limits.MIN_REPORT_PERIOD_S
+    )
+    began = fleet.clock.seconds
+    fleet.run(2 * lifetime_s, 4.0, 8.0, random.Random(1))
+    assert fleet.count_most(began) <= MOST_FACTOR * WINDOW_S * 4.0 + MOST_EXTRA
+
+
+# Guards against refusing for longer than needed: once all are heard, the
+# limit is used as if the number of instances were not known.
+def test_limit_is_used_again_when_hearing_returns():
+    names = [f'i{number}' for number in range(7)]
+    fleet = Fleet(names, known_count=7)
+    fleet.muted.update(names)
+    fleet.run(8.0, 7.0, 8.0, random.Random(1))
+    fleet.muted.clear()
+    fleet.run(8.0, 7.0, 8.0, random.Random(1))
+    fleet.sent.clear()
+    fleet.run(10.0, 7.0, 8.0, random.Random(1))
+    assert len(fleet.sent) >= 0.8 * 7.0 * 10.0
+
+
+# The fleet halves or doubles while nothing is told: what is known lags.
+@pytest.mark.parametrize(('known', 'count'), [(14, 7), (7, 14)])
+def test_known_number_lags_behind_the_fleet(known, count):
+    names = [f'i{number}' for number in range(count)]
+    fleet = Fleet(names, known_count=known)
+    fleet.run(8.0, 8.0, 6.0, random.Random(1))
+    fleet.sent.clear()
+    began = fleet.clock.seconds
+    fleet.run(10.0, 8.0, 6.0, random.Random(1))
+    assert fleet.count_most(began) <= MOST_FACTOR * WINDOW_S * 8.0 + MOST_EXTRA
+    assert len(fleet.sent) >= 0.4 * 8.0 * 10.0
