--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -60,8 +60,9 @@
 
     __slots__ = ('_caller_site', '_ingress', '_log', '_log_cache', '_path',
                  '_peers', '_runners', '_sessions', '_settings', '_stopping',
-                 '_tasks', '_timer', '_was_ready', 'environment', 'observations',
-                 'operator', 'reader', 'rollout_task', 'servers')  # fmt: skip
+                 '_tasks', '_timer', '_was_ready', 'environment',
+                 'observations', 'operator', 'reader', 'rollout_task',
+                 'servers')  # fmt: skip
 
     def __init__(self, settings, path, loop):
         self._settings = settings
