Keep whole answers that are followed by other bytes; poll engines on own connections

Report of other operators: a server sent a second copy of an answer, late, on a connection that was in use again.

A copy is not passed on: connections to servers are used once on the platform, and the own interface checks the id.

Cause: the parser fails as a whole on bytes that are no response. On the own interface polls of engines shared the kept connections of answers; a late copy of an answer was a valid list of versions with none in it, so that an engine would have been ordered to load again.

Change: a connection passes on what the length announces and is closed if more follows. Polls and orders use their connection once; a report without versions is refused.

--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -3,16 +3,100 @@
 A response with neither a length nor chunks ends with its connection. It is
 whole only if that was closed and not reset, which may happen before the
 response is read.
+
+A response with a length is whole once it has arrived, whatever bytes follow.
+These belong to no request: they are dropped, with their connection.
 """
 
 import asyncio
+import functools
 
 import aiohttp
+from aiohttp import client_proto
+
+HEAD_END = b'\r\n\r\n'
+# Another response follows these; 101 is final.
+INTERIM_STATUSES = {100, *range(102, 200)}
+
+
+class _Handler(client_proto.ResponseHandler):
+    """Passes a response on to the parser without the bytes after its end."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        # The last bytes of a head, to find an end that arrives in parts.
+        self._head_tail = b''
+        # Bytes of the body that are still due, None if the end isn't known.
+        self._body_left = None
+        self._is_in_head = True
+
+    def set_response_params(self, **params):
+        """Prepare for the response to the next request."""
+        self._head_tail = b''
+        self._body_left = None
+        self._is_in_head = True
+        super().set_response_params(**params)
+
+    def data_received(self, data):
+        """Feed the parser up to the end of the response."""
+        if not data:
+            super().data_received(data)  # The parser goes on after a pause.
+            return
+        while self._is_in_head and data:
+            data = self._receive_head(data)
+        if data:
+            self._receive_body(data)
+
+    def _receive_body(self, data):
+        if self._body_left is None:
+            super().data_received(data)
+            return
+        body, excess = data[: self._body_left], data[self._body_left :]
+        self._body_left -= len(body)
+        if body:
+            super().data_received(body)
+        if excess:
+            self.force_close()
+            if self.transport is not None:
+                self.transport.close()
+
+    def _receive_head(self, data):
+        """Feed the parser the data up to a head's end; return the rest."""
+        seen = self._head_tail + data
+        cut = seen.find(HEAD_END)
+        if cut < 0:
+            self._head_tail = seen[1 - len(HEAD_END) :]
+            super().data_received(data)
+            return b''
+        size = cut + len(HEAD_END) - len(self._head_tail)
+        self._head_tail = b''
+        queued = len(self._buffer)
+        super().data_received(data[:size])
+        if len(self._buffer) == queued:
+            return data[size:]  # Blank lines, or no protocol.
+        (message, _), _ = self._buffer[-1]
+        if message.code not in INTERIM_STATUSES:
+            self._is_in_head = False
+            self._body_left = self._find_length(message)
+        return data[size:]
+
+    def _find_length(self, message):
+        """Return the bytes of the body, None if its end isn't stated."""
+        if self._skip_payload:
+            return 0
+        if message.chunked or message.upgrade:
+            return None
+        text = message.headers.get('Content-Length', '')
+        return int(text) if text.isascii() and text.isdigit() else None
 
 
 class Connector(aiohttp.TCPConnector):
     """Tracks how each connection ends, from its creation on."""
 
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._factory = functools.partial(_Handler, loop=self._loop)
+
     async def _create_connection(self, req, traces, timeout):
         protocol = await super()._create_connection(req, traces, timeout)
         closed = protocol.closed
--- a/arbutuschute/load_polling.py
+++ b/arbutuschute/load_polling.py
@@ -48,8 +48,10 @@
         self._polling.add(name)
         try:
             server = environment.fleet.servers.get(name)
+            # Reports bear no id: on a kept connection, a late copy of an
+            # answer could be taken for one.
             report = server and await fleet.fetch_load(
-                environment.http, server
+                environment.http_once, server
             )
             if report is not None:
                 environment.fleet.accept_report(
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -27,7 +27,7 @@
 
 
 class _LoadedVersions(msgspec.Struct, frozen=True):
-    versions: tuple[str, ...] = ()
+    versions: tuple[str, ...]
 
 
 class OrderControl:
@@ -200,8 +200,13 @@
         return await self._call('GET', f'{base}/weights/{name}') is not None
 
     async def _call(self, method, url, body=None):
+        """Return the body of a success, or None.
+
+        The responses bear no id, so no connection is used twice: a late copy
+        of another answer could be taken for one of them.
+        """
         try:
-            async with self._environment.http.request(
+            async with self._environment.http_once.request(
                 method,
                 url,
                 data=body,
