Count a suspend of the machine on the own interface, too; leave limits to the region of a server

Report of other operators: a process that had been paused acted on a permission that had run out meanwhile.

What callers saw: nothing here. Cause: the router's clock stops while the machine is suspended, so its lease on the configuration, the one on orders and deadlines went on. Change: the clock of the instance, which counts that time.

Instances of another region that hear nobody divided the limit among all, those of the server's region among themselves. Now it is left to the latter while nobody is heard. Measured: test_limit_is_left_to_the_servers_region_while_none_is_heard failed before.

--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -60,7 +60,7 @@
     environment = environment_module.Environment()
     environment.settings = settings
     environment.incarnation = time.time_ns() // 1_000_000
-    environment.timer = timer.make_real(loop)
+    environment.timer = timer.make_suspend_aware(loop)
     environment.random = random.Random(
         f'{settings.name}-{environment.incarnation}'
     )
--- a/arbutuschute/policy/rate_limits.py
+++ b/arbutuschute/policy/rate_limits.py
@@ -152,7 +152,7 @@
                  '_name', '_now', '_own', '_region', '_reports', '_shares',
                  '_statements')  # fmt: skip
 
-    def __init__(self, now, name, region, count_instances=lambda region: 1):
+    def __init__(self, now, name, region, count_instances=lambda region: 0):
         self._now = now
         self._count_instances = count_instances
         self._name = name
@@ -319,6 +319,8 @@
         limit = self._limits[server]
         demand = self._list_demand(pool, region)
         if not demand:
+            if self._own is None and self._count_instances(region):
+                return 0.0  # Those of the region can't be heard.
             region, demand = None, self._list_demand(pool)
         unheard = max(0, self._count_instances(region) - len(demand))
         if unheard:
--- a/arbutuschute/zones/fleet_size.py
+++ b/arbutuschute/zones/fleet_size.py
@@ -60,10 +60,10 @@
 
         A zone whose number isn't known counts as much as the largest one.
         Before any is known, an instance that hears the others needs no
-        number: it counts 1, and those that report are known to it.
+        number, as those that report are known to it: 0 is returned.
         """
         if not self._instances and self._hears_others():
-            return 1
+            return 0
         largest = max(self._instances.values(), default=UNKNOWN_ZONE_INSTANCES)
         return sum(
             self._instances.get(zone, largest)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -313,6 +313,20 @@
     assert fleet.count_most(began) <= MOST_FACTOR * WINDOW_S * 4.0 + MOST_EXTRA
 
 
+# Guards against instances of both regions dividing the whole limit, each
+# region for itself, as neither hears of the other.
+def test_limit_is_left_to_the_servers_region_while_none_is_heard():
+    clock = Clock()
+    sizes = {'r': 3, 'elsewhere': 4, None: 7}
+    shares = []
+    for region in ('r', 'elsewhere'):
+        found = rate_limits.RateLimits(clock.now, 'i', region, sizes.get)
+        found.record('s', 3.0)
+        assert found.has_limit('s')
+        shares.append(sizes[region] * found._get_share('s', 'pool', 'r'))
+    assert shares == [pytest.approx(3.0), 0.0]
+
+
 # Guards against the same after the reports that were heard have expired.
 def test_limit_is_kept_when_hearing_stops():
     names = [f'i{number}' for number in range(7)]
