Check a request's permission again before each attempt

Report of other operators: a process that had been paused acted on a permission that had run out meanwhile. It could happen here on the platform.

What callers saw: a request whose key was revoked while an attempt ran was sent to further servers. Cause: lease, key and deadline were read at the arrival of a request alone. Change: they are read again after each wait. A request that some server has got may go on in an outage; one that none has got needs a current configuration. The clock counts a suspend already.

--- /dev/null
+++ b/arbutuschute/traffic/permission.py
@@ -0,0 +1,29 @@
+"""Whether a request may still be sent to a server.
+
+It was checked at its arrival. Since then it may have waited, for its turn or
+for an attempt that failed, and the process or its machine may have paused.
+"""
+
+from arbutuschute import errors
+
+
+def check(environment, request):
+    """Raise a ``Failure`` if a permission has ended meanwhile.
+
+    ``DeadlinePassed`` after the deadline, ``UnknownKey`` if the key was
+    revoked. A request that no server has got needs a configuration that is
+    known to be current: ``CutOff`` otherwise.
+    """
+    if environment.now() >= request.deadline_at:
+        raise errors.DeadlinePassed(
+            int((request.deadline_at - request.received_at) * 1000)
+        ).mark_ran(request.known_ran)
+    if not request.attempts and not environment.freshness.is_valid:
+        raise errors.CutOff(environment.name)
+    table = environment.table
+    if table.version == request.version:
+        return
+    try:
+        table.find_organisation(request.route, request.key)
+    except errors.UnknownKey as failure:
+        raise failure.mark_ran(request.known_ran) from None
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -6,6 +6,7 @@
 from arbutuschute import logs
 from arbutuschute.machines import statements
 from arbutuschute.policy import placement
+from arbutuschute.traffic import permission
 
 # Another attempt needs at least this much time before the deadline.
 MIN_LEFT_S = 0.03
@@ -24,6 +25,7 @@
     too long, ``PromptQuarantined`` if no server may get the request.
     """
     while True:
+        permission.check(environment, request)
         refuse_quarantined(environment, request)
         server, wait_s = _reserve_turn(environment, request, tried)
         if wait_s <= 0.0:
@@ -31,6 +33,7 @@
         await asyncio.sleep(wait_s)
         # It may have begun to leave meanwhile.
         if server.is_available(environment.now()):
+            permission.check(environment, request)
             refuse_quarantined(environment, request)
             return server
 
--- /dev/null
+++ b/tests/platform/test_pauses.py
@@ -0,0 +1,112 @@
+"""A process that was paused, or a request that waited, on the platform.
+
+Guards against acting on a lease, a key, a deadline or a position that ran
+out meanwhile.
+"""
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from tests.platform import conftest
+from tests.platform import standin
+
+PAUSE_S = 60.0
+
+
+@pytest.fixture
+def suspend(monkeypatch):
+    """Return a function that suspends the machine for a minute."""
+    read = time.clock_gettime
+    passed_s = [0.0]
+
+    def read_with_suspend(clock):
+        counts = clock == time.CLOCK_BOOTTIME
+        return read(clock) + (passed_s[0] if counts else 0.0)
+
+    monkeypatch.setattr(time, 'clock_gettime', read_with_suspend)
+
+    def suspend_machine():
+        passed_s[0] += PAUSE_S
+
+    return suspend_machine
+
+
+async def call(world, path, **more):
+    async with world.call(path, **more) as response:
+        return response.status, await response.read()
+
+
+def revoke_key(world):
+    world.store.put(
+        'keyed.op', 'config', conftest.make_configuration(2, keys=['another'])
+    )
+    return conftest.wait_for(
+        lambda: world.instance.environment.table.version == 2
+    )
+
+
+# A request with a key that was revoked while it waited runs all the same.
+@pytest.mark.parametrize('path', ['/again/x', '/stream/x'])
+async def test_key_that_was_revoked_meanwhile_sends_no_further_attempt(
+    world, path
+):
+    gate = asyncio.Event()
+
+    async def fail_late(engine, request, body):
+        await gate.wait()
+        return await standin.answer_error(engine, request, body)
+
+    await world.start([fail_late] * 3)
+    calling = asyncio.ensure_future(call(world, path))
+    await conftest.wait_for(lambda: world.count_arrivals() == 1)
+    await revoke_key(world)
+    gate.set()
+    status, _ = await calling
+    assert world.count_arrivals() == 1
+    assert status in (401, 500)
+
+
+# A request that waited for its turn at a server runs with a revoked key.
+async def test_key_that_was_revoked_before_the_turn_runs_nothing(world):
+    async def answer(engine, request, body):
+        headers = standin.make_headers(request, **{'Server-Limit': '2'})
+        return standin.web.Response(body=b'done', headers=headers)
+
+    await world.start([answer])
+    await call(world, '/again/x')
+    calls = [asyncio.ensure_future(call(world, '/again/x')) for _ in range(2)]
+    await asyncio.sleep(0.02)
+    before = world.count_arrivals()
+    table = world.instance.environment.table
+    table._by_key.clear()
+    table._by_key['another'] = None
+    table.version += 1
+    statuses = {status for status, _ in await asyncio.gather(*calls)}
+    assert statuses <= {200, 401, 503}
+    assert world.count_arrivals() == before
+
+
+# An instance that was suspended serves with a configuration that may be out
+# of date by now, and sends requests whose deadline has passed.
+async def test_suspended_instance_sends_nothing_that_has_run_out(
+    world, suspend
+):
+    gate = asyncio.Event()
+
+    async def fail_late(engine, request, body):
+        await gate.wait()
+        return await standin.answer_error(engine, request, body)
+
+    await world.start([fail_late] * 3)
+    calling = asyncio.ensure_future(call(world, '/again/x'))
+    await conftest.wait_for(lambda: world.count_arrivals() == 1)
+    world.store.fault = 'busy'
+    suspend()
+    gate.set()
+    assert (await calling)[0] in (500, 504)
+    status, body = await call(world, '/again/y')
+    assert (status, json.loads(body)['code']) == (503, 'cut-off')
+    assert world.count_arrivals() == 1
