Leave slow but sound streams at their server

What callers saw: a stream with pauses over 0.9 s, though its route allows more, was begun again at another server, and there again.

Cause: one figure for the silence of a server, whatever the route allows and the stream has done before. Change: a stream's pause may be 1.2 times the route's longest one, or twice the stream's own longest.

--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -9,8 +9,6 @@
 # Time limits after which a resumable stream is moved to another server.
 # Until the first event, as a multiple of the route's target.
 FIRST_EVENT_TARGETS = 2.5
-# Between events, as a multiple of the route's longest pause.
-GAP_TARGETS = 3.5
 # A first event later than this counts as slow; a multiple of the target.
 SLOW_TARGETS = 1.0
 MAX_EVENT_BYTES = 256 * 1024
@@ -186,6 +184,8 @@
     gap_meter = events.GapMeter()
     read_events = _make_reader(environment, server, attempt, splitter)
     resumed_after = stream.last_id
+    longest_gap_s = 0.0
+    waiting_since = environment.now()
     while whole := await timeouts.wait_for(
         environment, request, server, read_events, limits
     ):
@@ -193,13 +193,20 @@
             _check_continuation(server, whole, resumed_after)
             request.progress = progress.Progress.EVENTS
             environment.crash_reports.record_answer(request.prompt_parts)
+        else:
+            longest_gap_s = max(
+                longest_gap_s, environment.now() - waiting_since
+            )
         gap_s = gap_meter.add(whole, environment.now())
         _record_gap(environment, request, server, gap_s)
-        limits = timeouts.Limits(GAP_TARGETS * request.route.gap_target_s)
+        limits = timeouts.compute_gap_limits(
+            request.route.gap_target_s, longest_gap_s
+        )
         await _forward(
             environment, request, server, stream, attempt, whole, began
         )
         stream.last_id = splitter.last_id or stream.last_id
+        waiting_since = environment.now()
     _record_gap(environment, request, server, gap_meter.finish())
     if splitter.has_partial_event:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
--- a/arbutuschute/traffic/timeouts.py
+++ b/arbutuschute/traffic/timeouts.py
@@ -15,6 +15,12 @@
 # One prompt in ten takes over twice as long as estimated.
 READING_FACTOR = 2.0
 READING_MARGIN_S = 0.3
+# Between the events of a stream, as multiples of the route's longest pause. A
+# pause of that length is sound; a server may be heard on other connections.
+SILENT_GAP_TARGETS = 1.2
+GAP_TARGETS = 3.5
+# The same, as a multiple of the stream's longest pause so far.
+SILENT_GAPS = 2.0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -36,6 +42,20 @@
     return Limits(total_s, max(UNRESPONSIVE_AFTER_S, silence_s))
 
 
+def compute_gap_limits(gap_target_s, longest_gap_s):
+    """Return the ``Limits`` until the next event of a stream.
+
+    ``gap_target_s`` is the route's longest pause, ``longest_gap_s`` that of
+    the stream so far: one at a busy server slows down before it goes on.
+    """
+    silence_s = max(
+        UNRESPONSIVE_AFTER_S,
+        SILENT_GAP_TARGETS * gap_target_s,
+        SILENT_GAPS * longest_gap_s,
+    )
+    return Limits(max(GAP_TARGETS * gap_target_s, silence_s), silence_s)
+
+
 async def wait_for(environment, request, server, make_wait, limits):
     """Return the result of ``make_wait()``, which waits for a server.
 
