Write a roll-out's status only if none was written since its log was read

Report of other operators: around a hand-over between two processes both acted for a moment, and orders went out twice. Steps of roll-outs and orders to engines carry what fences them; the status did not.

What callers saw: nothing; the operator could see a roll-out in progress that was completed, and keep the old servers. Cause: the status was written without a condition, from what the writer knew before a pause. Change: read where the statuses end, then the log of steps, and write at that end.

--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -187,13 +187,26 @@
         await self._put_status(rollout)
 
     async def _put_status(self, rollout):
-        status = configuration.encode_status(rollout.order, rollout.phase)
-        answer = await self._store.put(
-            configuration.STATUS_TOPIC,
-            configuration.make_status_key(rollout.order.service),
-            status,
-        )
-        written = isinstance(answer, result.Success)
+        """Write the status that the log of steps gives now.
+
+        This instance may have been paused and others may have gone on, so it
+        is written only if no status was written since the log was read.
+        """
+        written = False
+        for _ in range(MAX_STEP_ATTEMPTS):
+            answer = await self._store.read_newest(configuration.STATUS_TOPIC)
+            if isinstance(answer, result.Failure):
+                break
+            if not (await self._topic.read(is_direct=True)).value_or(False):
+                break
+            answer = await self._store.put(
+                configuration.STATUS_TOPIC,
+                configuration.make_status_key(rollout.order.service),
+                configuration.encode_status(rollout.order, rollout.phase),
+                at=answer.unwrap().end,
+            )
+            if written := isinstance(answer, result.Success):
+                break
         self._log.info(
             'rollout status',
             service=rollout.order.service,
