Count only attempts that may have run against a route's limit

Cause: each attempt counted, also those that no server got, that a full one refused, and those at servers that have ended. Change: such attempts don't count, up to four of them; a server that falls silent is checked beside the next attempt. Those that reached no server aren't charged to the retry budget, and a request that reached none is said not to have run (503, not 502). A line tells why a request is not retried. The same rule on the own interface.

--- a/arbutuschute/core.py
+++ b/arbutuschute/core.py
@@ -129,7 +129,7 @@
     Version and lease are checked before each attempt: a retry is new work
     for the server that receives it.
     """
-    attempt_count = 0
+    attempt_count = excused_count = 0
     tried = set()
     last = None
     environment.retry_budget.deposit()
@@ -145,9 +145,12 @@
             work.record_ran(failure.ran)
             _apply_failure(environment, server, failure)
             await _check_for_crash(environment, work, server, failure)
+            if failure.ran is errors.Ran.NO:
+                excused_count += 1
             if not retry.may_retry(
                 failure,
                 attempt_count,
+                excused_count,
                 work.profile.idempotent,
                 work.answer_started,
             ):
--- a/arbutuschute/machines/crashes.py
+++ b/arbutuschute/machines/crashes.py
@@ -100,6 +100,17 @@
         (report.begun if has_begun else report.waiting).update(suspected)
         self._apply(report.make_crash(server, suspected, has_begun))
 
+    async def has_ended(self, server):
+        """Return whether no process listens at a silent server's address.
+
+        It then isn't tried for a while.
+        """
+        ended = await is_refusing_connections(server.host_port)
+        if ended:
+            server.pause(self._timer.now() + CRASHED_PAUSE_S)
+        self._log.info('server checked', server=server.name, crashed=ended)
+        return ended
+
     async def _confirm(self, server):
         incarnation = server.incarnation
         crashed = await is_refusing_connections(server.host_port)
--- a/arbutuschute/policy/retry.py
+++ b/arbutuschute/policy/retry.py
@@ -5,6 +5,8 @@
 RETRIES_PER_REQUEST = 0.1
 MAX_BUDGET = 10.0
 MAX_ATTEMPTS = 3
+# Attempts beyond that, as those that did not run don't count against it.
+MAX_EXCUSED_ATTEMPTS = 4
 
 
 class Budget:
@@ -30,11 +32,14 @@
         return True
 
 
-def may_retry(failure, attempts, idempotent, answer_started):
+def may_retry(failure, attempts, excused, idempotent, answer_started):
     """Return whether the request may be sent once more.
 
+    ``excused`` counts those of the attempts that certainly did not run.
     Work that must not run twice is retried only if it certainly never ran.
     """
-    if attempts >= MAX_ATTEMPTS or answer_started:
+    if attempts - excused >= MAX_ATTEMPTS or answer_started:
+        return False
+    if attempts >= MAX_ATTEMPTS + MAX_EXCUSED_ATTEMPTS:
         return False
     return idempotent or failure.ran is errors.Ran.NO
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -44,6 +44,7 @@
         'crashes',
         'deadline_at',
         'event_gap_s',
+        'excused_attempts',
         'first_event_s',
         'headers',
         'host',
@@ -91,6 +92,8 @@
         self.session = request_id
         self.version = 0
         self.attempts = 0
+        # Attempts that did not run, or whose server has ended since.
+        self.excused_attempts = 0
         # Servers that crashed before they answered.
         self.crashes = 0
         # Seconds until a stream's first event was passed on, and between the
@@ -109,6 +112,11 @@
             return errors.Ran.UNKNOWN
         return self.ran
 
+    @property
+    def counted_attempts(self):
+        """The attempts that count against the route's limit."""
+        return self.attempts - self.excused_attempts
+
     @property
     def prompt_parts(self):
         """The names of the prompt's parts that other requests may share."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -10,6 +10,8 @@
 
 # Another attempt needs at least this much time before the deadline.
 MIN_LEFT_S = 0.03
+# Attempts beyond the route's limit, as some don't count against it.
+MAX_EXCUSED_ATTEMPTS = 4
 MAX_LOGGED_PARTS = 8
 # How long a request may wait for its turn at a server with a rate limit, as a
 # multiple of the route's target.
@@ -199,27 +201,52 @@
     return now - request.received_at + min(waits) + expected_s
 
 
-def may_retry(environment, request, ran):
+def may_retry(environment, request, ran, is_charged=True):
     """Return whether to retry; if so, charge the retry budget.
 
-    ``ran`` is what is known of the failed attempt's execution.
+    ``ran`` is what is known of the failed attempt's execution. One that
+    reached no server is replaced without a charge.
     """
+    reason = _find_reason_against_retry(environment, request, ran)
+    if reason is None and is_charged:
+        reason = _charge_retry(environment, request)
+    if reason is None:
+        return True
+    environment.log.info(
+        'not retried',
+        request=request.id,
+        reason=reason,
+        attempts=request.attempts,
+        left_ms=int(1000 * (request.deadline_at - environment.now())),
+    )
+    return False
+
+
+def _find_reason_against_retry(environment, request, ran):
+    """Return why a request must not be retried, or None."""
     route = request.route
-    if request.attempts >= route.max_attempts:
-        return False
+    if request.counted_attempts >= route.max_attempts:
+        return 'attempts'
+    if request.attempts >= route.max_attempts + MAX_EXCUSED_ATTEMPTS:
+        return 'attempts'
     if ran is not errors.Ran.NO and not route.is_retryable:
-        return False
+        return 'once'
     if request.deadline_at - environment.now() < MIN_LEFT_S:
-        return False
+        return 'deadline'
     if not environment.quarantine.may_retry(
         request.prompt_parts, request.crashes
     ):
         environment.metrics.count('repeats.after-crash')
-        return False
-    if not environment.retry_budget.try_spend(request.service):
-        environment.metrics.count('repeats.refused')
-        return False
-    return True
+        return 'after-crash'
+    return None
+
+
+def _charge_retry(environment, request):
+    """Return why the retry budget doesn't allow a retry, or None."""
+    if environment.retry_budget.try_spend(request.service):
+        return None
+    environment.metrics.count('repeats.refused')
+    return 'refused'
 
 
 async def check_for_crash(environment, request, server, failure):
@@ -227,15 +254,37 @@
 
     Wait until that is known, as it decides on a retry.
     """
-    if request.first_event_s is None:
-        await environment.crash_reports.check(server, failure, request)
+    if isinstance(failure, errors.ServerSilent):
+        _check_end_later(environment, request, server)
+    if request.first_event_s is not None:
+        return
+    crashes = request.crashes
+    await environment.crash_reports.check(server, failure, request)
+    request.excused_attempts += request.crashes - crashes
+
+
+def _check_end_later(environment, request, server):
+    """Excuse the attempt at a silent server if that has ended.
+
+    The next attempt begins meanwhile.
+    """
+
+    def excuse(check):
+        if not check.cancelled() and check.result():
+            request.excused_attempts += 1
+
+    check = asyncio.ensure_future(environment.crash_reports.has_ended(server))
+    check.add_done_callback(excuse)
 
 
 def is_retried(environment, request, failure):
     """Return whether to retry after a failure; charge the retry budget."""
     if isinstance(failure, errors.ServerSilent):
         return True  # The budget was charged when the time limit passed.
-    return may_retry(environment, request, failure.ran)
+    reached_server = not isinstance(failure, errors.EngineUnreachable)
+    return may_retry(
+        environment, request, failure.ran, is_charged=reached_server
+    )
 
 
 def record_head(environment, server, head):
@@ -249,6 +298,7 @@
 def record_failure(environment, request, server, failure):
     """Record a failed attempt for the choice of servers and roll-outs."""
     request.record_ran(failure.ran)
+    request.excused_attempts += failure.ran is errors.Ran.NO
     # A full server refuses requests; that is not a fault of its version.
     if isinstance(failure, errors.EngineRefused):
         statements.apply(server, failure, environment.now(), environment.log)
@@ -278,9 +328,11 @@
     """Return the final failure, given what is known of all attempts.
 
     Codes that invite a retry (429, 503) are replaced if the request may
-    have run.
+    have run, and take the place of 502 if it certainly has not.
     """
     if request.ran is errors.Ran.NO:
+        if isinstance(failure, errors.EngineUnreachable):
+            return errors.NoBackendServer(request.service)
         return failure
     if failure.http_status in (429, 503):
         ended = errors.ServerFailed(request.service, failure.code)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -278,7 +278,19 @@
     ran, idempotent, started, expected
 ):
     failure = errors.AnswerBroken('e').mark_ran(ran)
-    assert retry.may_retry(failure, 1, idempotent, started) is expected
+    assert retry.may_retry(failure, 1, 0, idempotent, started) is expected
+
+
+# Pattern: the first servers are gone or full, and none that is there is asked.
+def test_attempts_that_did_not_run_do_not_count_but_are_bounded():
+    refused = errors.EngineUnreachable('e')
+    most = retry.MAX_ATTEMPTS + retry.MAX_EXCUSED_ATTEMPTS
+    for attempts in range(1, most):
+        assert retry.may_retry(refused, attempts, attempts, False, False)
+    assert not retry.may_retry(refused, most, most, False, False)
+    unknown = errors.AnswerBroken('e').mark_ran(errors.Ran.UNKNOWN)
+    assert not retry.may_retry(unknown, retry.MAX_ATTEMPTS, 0, True, False)
+    assert retry.may_retry(unknown, retry.MAX_ATTEMPTS, 1, True, False)
 
 
 def test_retries_stay_a_share_of_requests():
