--- a/arbutuschute/errors.py
+++ b/arbutuschute/errors.py
@@ -4,7 +4,6 @@
 member says whether the request may have run.
 """
 
-import dataclasses
 import enum
 
 
@@ -20,23 +19,29 @@
     """Base of all failures.
 
     ``code`` is stable and for programs; ``title`` and ``detail`` are for
-    people.
+    people. The constructor takes a value for each of ``fields``.
     """
 
+    fields = ()
     code = 'internal'
     title = 'Internal failure'
     http_status = 500
     ran = Ran.NO
     retry_after_s = None
 
+    def __init__(self, *values):
+        if len(values) != len(self.fields):
+            raise TypeError(f'{self.code}: expected {self.fields}')
+        super().__init__(*values)
+        for field, value in zip(self.fields, values, strict=True):
+            setattr(self, field, value)
+
     @property
     def detail(self):
         """The names and values of the failure's fields, else its title."""
-        if not dataclasses.is_dataclass(self):
-            return self.title
         facts = (
-            f'{field.name.replace("_", " ")}: {getattr(self, field.name)}'
-            for field in dataclasses.fields(self)
+            f'{field.replace("_", " ")}: {getattr(self, field)}'
+            for field in self.fields
         )
         return '; '.join(facts) or self.title
 
@@ -64,16 +69,16 @@
 def define(name, code, title, http_status, *fields, retry_after_s=None,
            base=Failure):  # fmt: skip
     """Return a failure type whose constructor takes ``fields`` in order."""
-    made = dataclasses.make_dataclass(
-        name, [(field, object) for field in fields], bases=(base,), eq=False
-    )
-    made.__doc__ = f'{title}.'
-    made.__module__ = __name__
-    made.code = code
-    made.title = title
-    made.http_status = http_status
-    made.retry_after_s = retry_after_s
-    return made
+    members = {
+        '__doc__': f'{title}.',
+        '__module__': __name__,
+        'fields': base.fields + fields,
+        'code': code,
+        'title': title,
+        'http_status': http_status,
+        'retry_after_s': retry_after_s,
+    }
+    return type(name, (base,), members)
 
 
 # Invalid input.
--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -69,7 +69,7 @@
     """Return the problem document of each failure, by its code."""
     found = {}
     for kind in _list_types(errors.Failure):
-        fields = getattr(kind, '__dataclass_fields__', ())
+        fields = kind.fields
         failure = kind(*(f'<{n}>' for n in range(len(fields))))
         exit_status = output.EXIT_BY_FAILURE.get(kind)
         found[failure.code] = {
