--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -46,3 +46,19 @@
     raw = (ROOT / 'deploy' / 'system.toml').read_text()
     role = tomllib.loads(raw)['roles']['instance']
     assert role['env']['SSL_CERT_FILE'] == '/dev/null'
+
+
+def test_start_looks_for_garbage_only_after_its_imports():
+    script = (
+        'import gc\n'
+        'from arbutuschute.cli import instance, start\n'
+        'instance.main = lambda: print(gc.isenabled(), gc.get_freeze_count())\n'
+        'start.main()\n'
+    )
+    ended = subprocess.run(
+        (sys.executable, '-c', script), check=True, text=True,
+        capture_output=True, cwd=ROOT,
+    )  # fmt: skip
+    enabled, frozen = ended.stdout.split()
+    assert enabled == 'True'
+    assert int(frozen) > 1000
