Hold back a version that fails too often to be trusted

Cause: in thin traffic the errors of a bad version (3 of 12 responses, then 7 of 14 against 6 of 122) are no proof when a step is due, and only slowness was looked at beyond a proof. An instance that had the proof later lost three attempts to write it against the evidence of others, until another one with fewer counts wrote the end.

Change: a version with an e-value of 10 for errors or missed targets is not advanced, and rolled back at the end, as a slower one is already. Eight attempts to write a step.

--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -17,8 +17,9 @@
 EVIDENCE_PERIOD_S = 4.0
 # The writer of a final step may die before it has written the status.
 STATUS_TAKEOVER_S = 1.0
-# Evidence of others may be appended between the read and the step.
-MAX_STEP_ATTEMPTS = 3
+# Evidence of others may be appended between the read and the step, many times
+# a second while a new version fails.
+MAX_STEP_ATTEMPTS = 8
 
 
 class RolloutTask:
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -19,8 +19,8 @@
 # times were compared. If all of these are slower, they suffice to reject.
 MIN_TRIALS = 12
 MIN_COMPARED = 8
-# A version of which this much speaks for being slower is not advanced. A good
-# one ever comes that far in one roll-out of ten at most.
+# A version of which this much speaks for being worse is not advanced. A good
+# one ever comes that far by a signal in one roll-out of ten at most.
 MAX_EVIDENCE_TO_ADVANCE = 10.0
 # Responses of the old version in a step without which the step says nothing.
 MIN_PACE_REFERENCE = 20
@@ -66,6 +66,16 @@
     return guard.is_sufficient(compute_evidence(pace, steps, sum_counts))
 
 
+def _compute_failure_evidence(new, old):
+    """Return the e-value against 'the new version fails no more often'.
+
+    ``new`` and ``old`` are (failures, trials); the old version needs some.
+    """
+    if old[1] < MIN_PACE_REFERENCE:
+        return 1.0
+    return guard.compute_evidence(*new, guard.compute_upper_rate(*old))
+
+
 class Comparison:
     """Counts of one roll-out, as (failures, trials) by side and signal.
 
@@ -131,14 +141,23 @@
 
     def may_advance(self, instance):
         """Return whether the new version was tried enough, not a suspect."""
-        return self._has_enough_trials(instance) and not any(
-            compute_evidence(
-                pace,
-                COMPARED_STEPS,
-                lambda side, signal: self.sum_counts(side, signal, instance),
-            )
-            >= MAX_EVIDENCE_TO_ADVANCE
+
+        def sum_counts(side, signal):
+            return self.sum_counts(side, signal, instance)
+
+        evidence = [
+            compute_evidence(pace, COMPARED_STEPS, sum_counts)
             for pace in PACES
+        ]
+        evidence += [
+            _compute_failure_evidence(
+                sum_counts('new', signal), sum_counts('old', signal)
+            )
+            for signal in SIGNALS
+        ]
+        return (
+            self._has_enough_trials(instance)
+            and max(evidence) < MAX_EVIDENCE_TO_ADVANCE
         )
 
     def _has_enough_trials(self, instance):
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -344,6 +344,36 @@
     assert step.phase is canary.Phase.ROLLED_BACK
 
 
+def make_failing(failures, trials, old_failures, old_trials):
+    clock, rollouts, rollout = make_rollout(24.0)
+    rollouts.apply(canary.Step(7, 's', 0, canary.Phase.RUNNING, 0.0))
+    for side, count, failed in (
+        ('new', trials, failures), ('old', old_trials, old_failures)
+    ):  # fmt: skip
+        for number in range(count):
+            rollout.comparison.record(side, 'error', number < failed)
+    return rollout
+
+
+# Pattern: a bad version in thin traffic. With few responses nothing is certain
+# when a step is due, and the next share is seven times as large.
+@pytest.mark.parametrize(
+    ('new', 'old'), [((7, 14), (6, 122)), ((5, 18), (6, 181))]
+)
+def test_version_that_fails_too_often_is_not_advanced(new, old):
+    rollout = make_failing(*new, *old)
+    assert not rollout.comparison.is_bad('i')
+    assert rollout.decide('i', 15.0, True) is None
+    step = rollout.decide('i', canary.END_BY * 24.0, True)
+    assert step.phase is canary.Phase.ROLLED_BACK
+
+
+@pytest.mark.parametrize('new', [(0, 14), (1, 14), (2, 30)])
+def test_version_that_fails_as_often_as_the_old_one_is_advanced(new):
+    rollout = make_failing(*new, 6, 122)
+    assert rollout.decide('i', 15.0, True).number == 1
+
+
 def test_version_with_as_many_slower_responses_as_the_old_one_is_advanced():
     rollout = make_compared(3, 10)
     assert rollout.decide('i', 12.0, True).number == 2
--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -52,7 +52,8 @@
     script = (
         'import gc\n'
         'from arbutuschute.cli import instance, start\n'
-        'instance.main = lambda: print(gc.isenabled(), gc.get_freeze_count())\n'
+        'instance.main = lambda: '
+        'print(gc.isenabled(), gc.get_freeze_count())\n'
         'start.main()\n'
     )
     ended = subprocess.run(
