Divide the slack of retries by the instances that are known

Cause: the deployment's slack was divided by 100, whatever the number of instances: 195 of them could use 1.95 times of it. Change: by the number known (zones tell theirs), 100 at least. Measured: a test of the load, 195 and 410 instances failed before.

--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -106,7 +106,7 @@
             now, _compute_lease_s(settings)
         )
         environment.retry_budget = retry_budget.RetryBudget(
-            now, settings.bounds
+            now, settings.bounds, environment.fleet_size.count
         )
         environment.rollouts = canary.Rollouts(now, settings.bounds.session_s)
         environment.model_selector = model_choice.ModelSelector()
--- a/arbutuschute/platform/readers.py
+++ b/arbutuschute/platform/readers.py
@@ -139,7 +139,7 @@
             start,
             min(read_limits.wait_s, max(fresh_for_s, 0.0)),
             era,
-            self._own_entry.address,
+            peer=self._own_entry.address,
         )
         if isinstance(answer, result.Failure):
             failure = answer.failure()
--- a/arbutuschute/policy/retry_budget.py
+++ b/arbutuschute/policy/retry_budget.py
@@ -9,18 +9,24 @@
 # Used part of the deployment's share. The rest covers requests and retries
 # that are counted in different windows.
 USED_SHARE = 0.85
-# Instances that share the deployment's slack. The parts of more instances
-# would add up to more than the slack.
-SLACK_INSTANCES = 100.0
+# At least so many instances share the deployment's slack: the number known may
+# be lower than that of those that run.
+MIN_SLACK_INSTANCES = 100
 
 
 class RetryBudget:
-    """Requests and retries by service in a sliding window."""
+    """Requests and retries by service in a sliding window.
 
-    __slots__ = ('_now', '_share', '_slack', '_window_s', '_windows')
+    ``count_instances()`` returns how many instances are known to share the
+    deployment's slack.
+    """
 
-    def __init__(self, now, bounds):
+    __slots__ = ('_count_instances', '_now', '_share', '_slack', '_window_s',
+                 '_windows')  # fmt: skip
+
+    def __init__(self, now, bounds, count_instances=lambda: 0):
         self._now = now
+        self._count_instances = count_instances
         self._windows = {}
         self.set_bounds(bounds)
 
@@ -28,7 +34,7 @@
         """Apply the deployment's bounds, at the start or after a change."""
         self._window_s = bounds.retry_window_s
         self._share = bounds.retry_share * USED_SHARE
-        self._slack = bounds.retry_slack / SLACK_INSTANCES
+        self._slack = bounds.retry_slack
 
     def record_request(self, service):
         """Record a caller's request."""
@@ -38,7 +44,8 @@
         """Record one more retry if allowed; return whether it was."""
         window = self._get_window(service)
         window.forget(self._now() - self._window_s)
-        allowed = self._share * len(window.requests) + self._slack
+        instances = max(MIN_SLACK_INSTANCES, self._count_instances())
+        allowed = self._share * len(window.requests) + self._slack / instances
         if len(window.retries) + 1 > allowed:
             return False
         window.retries.append(self._now())
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -120,7 +120,7 @@
             )
         )
 
-    async def fetch(*_):
+    async def fetch(*_, **__):
         assert not lease.is_valid
         return result.Failure(errors.ReaderSilent('peer:1', 'cut off'))
 
@@ -260,7 +260,7 @@
         self._steps = iter(steps)
         self._records = records
 
-    async def fetch(self, session, address, topic, start, wait_s, era=0):
+    async def fetch(self, session, address, topic, start, wait_s, era=0, **_):
         try:
             out_s, held_s, back_s, age_s, responds = next(self._steps)
         except StopIteration:
@@ -358,7 +358,7 @@
         self._steps = iter(steps)
         self._records = records
 
-    async def fetch(self, session, address, topic, start, wait_s, era=0):
+    async def fetch(self, session, address, topic, start, wait_s, era=0, **_):
         part, age_s, responds = next(self._steps, (1.0, 3.0, True))
         if not responds:
             self._timer.time += wait_s + log_cache.RESPONSE_TIMEOUT_S
@@ -456,7 +456,7 @@
     made = make_zone_reader(timer, None)
     read_limits = readers.ReadLimits(0.5, max_age_s=2.0)
 
-    async def fetch(*_):
+    async def fetch(*_, **__):
         return result.Success(
             log_cache.CacheResponse(0, 1, age_s, 0.0, (b'a',))
         )
@@ -535,7 +535,7 @@
         for number in range(16)
     ]  # fmt: skip
 
-    async def fetch(_, address, *__):
+    async def fetch(_, address, *__, **___):
         if address in dead:
             return result.Failure(errors.ReaderSilent(address, 'gone'))
         return result.Success(log_cache.CacheResponse(0, 0, 0.1, 0.0, ()))
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -158,7 +158,7 @@
         self.readers.append(reader)
         self._tasks += [reader, operator, servers, shared]
 
-    async def _fetch(self, session, address, topic, start, wait_s, era=0):
+    async def _fetch(self, session, address, topic, start, wait_s, era=0, **_):
         await self.timer.sleep(0.001 + wait_s)
         found = await self._caches[address].get_records(topic, start, 0.0)
         if found is None:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -156,6 +156,21 @@
         assert len(window) <= allowed
 
 
+# Pattern: all servers fail in a fleet of hundreds of instances, each of which
+# takes a part of the slack that is meant for a hundred.
+@pytest.mark.parametrize('instances', [101, 195, 410])
+def test_slack_is_divided_by_the_number_of_instances(instances):
+    clock = Clock()
+    bounds = settings.Bounds(retry_slack=430.0)
+    retried = 0
+    for _ in range(instances):
+        budget = retry_budget.RetryBudget(clock, bounds, lambda: instances)
+        budget.record_request('s')
+        while budget.try_spend('s'):
+            retried += 1
+    assert retried <= bounds.retry_share * instances + bounds.retry_slack
+
+
 # Events.
 
 
