Compare failures only while both versions get requests

Cause: at the last step the old version gets none, so its failures are of another time; with a rise of the load, a good version could be rolled back at the end. Change: the new hold ends with the step before. A caller that leaves the queue of a listening socket does not end the stop.

--- a/arbutuschute/listening.py
+++ b/arbutuschute/listening.py
@@ -35,9 +35,12 @@
     """Return the connections in a listening socket's queue."""
     queue.setblocking(False)
     accepted = []
-    with contextlib.suppress(BlockingIOError):
-        while True:
+    while True:
+        try:
             connection, _ = queue.accept()
-            connection.setblocking(False)
-            accepted.append(connection)
-    return accepted
+        except ConnectionAbortedError:
+            continue  # The caller has left the queue.
+        except BlockingIOError:
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -254,7 +254,8 @@
         duration = self.order.duration_s
         if elapsed < RAMP_FROM * duration:
             return None
-        if not self.comparison.may_advance(instance):
+        is_last_step = self.number + 1 == len(SHARES)
+        if not self.comparison.may_advance(instance, is_last_step):
             if elapsed < END_BY * duration:
                 return None
             return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -139,8 +139,12 @@
             for signal in SIGNALS
         )
 
-    def may_advance(self, instance):
-        """Return whether the new version was tried enough, not a suspect."""
+    def may_advance(self, instance, is_last_step=False):
+        """Return whether the new version was tried enough, not a suspect.
+
+        At the last step the old version gets no requests: its failures are
+        of another time, so that they prove less.
+        """
 
         def sum_counts(side, signal):
             return self.sum_counts(side, signal, instance)
@@ -149,12 +153,13 @@
             compute_evidence(pace, COMPARED_STEPS, sum_counts)
             for pace in PACES
         ]
-        evidence += [
-            _compute_failure_evidence(
-                sum_counts('new', signal), sum_counts('old', signal)
-            )
-            for signal in SIGNALS
-        ]
+        if not is_last_step:
+            evidence += [
+                _compute_failure_evidence(
+                    sum_counts('new', signal), sum_counts('old', signal)
+                )
+                for signal in SIGNALS
+            ]
         return (
             self._has_enough_trials(instance)
             and max(evidence) < MAX_EVIDENCE_TO_ADVANCE
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -374,6 +374,15 @@
     assert rollout.decide('i', 15.0, True).number == 1
 
 
+# Pattern: the load rises once all requests go to the new version.
+def test_completed_share_is_not_compared_with_failures_of_another_time():
+    rollout = make_failing(10, 60, 3, 200)
+    assert rollout.decide('i', 15.0, True) is None
+    rollout.apply(canary.Step(7, 's', 2, canary.Phase.RUNNING, 15.0), 15.0)
+    step = rollout.decide('i', 22.0, True)
+    assert step.phase is canary.Phase.COMPLETED
+
+
 def test_version_with_as_many_slower_responses_as_the_old_one_is_advanced():
     rollout = make_compared(3, 10)
     assert rollout.decide('i', 12.0, True).number == 2
