Don't break off a stream whose key was revoked after it began

Cause: the check before each attempt refused to resume a stream whose key had been revoked 43 ms before. Change: streams that their callers have begun to get go on, as before; others still send nothing after a revocation. Measured: tests/platform/test_pauses.py, the new test failed before.

--- a/arbutuschute/traffic/permission.py
+++ b/arbutuschute/traffic/permission.py
@@ -12,7 +12,8 @@
 
     ``DeadlinePassed`` after the deadline, ``UnknownKey`` if the key was
     revoked. A request that no server has got needs a configuration that is
-    known to be current: ``CutOff`` otherwise.
+    known to be current: ``CutOff`` otherwise. A stream that its caller has
+    begun to get is not broken off: it began while the key was valid.
     """
     if environment.now() >= request.deadline_at:
         raise errors.DeadlinePassed(
@@ -21,7 +22,7 @@
     if not request.attempts and not environment.freshness.is_valid:
         raise errors.CutOff(environment.name)
     table = environment.table
-    if table.version == request.version:
+    if table.version == request.version or request.first_event_s is not None:
         return
     try:
         table.find_organisation(request.route, request.key)
--- a/tests/platform/test_pauses.py
+++ b/tests/platform/test_pauses.py
@@ -69,6 +69,34 @@
     assert status in (401, 500)
 
 
+# A stream under way is broken off beside a change of the configuration.
+async def test_stream_that_has_begun_goes_on_after_its_key_was_revoked(world):
+    gate = asyncio.Event()
+    breaking = standin.make_stream(4, break_after=3)
+
+    async def break_late(engine, request, body):
+        if 'Last-Event-Id' not in request.headers:
+            response = standin.web.StreamResponse(
+                headers=standin.make_headers(request)
+            )
+            await response.prepare(request)
+            await response.write(b'id: 1\ndata: 1\n\n')
+            await gate.wait()
+            request.transport.abort()
+            return response
+        return await breaking(engine, request, body)
+
+    await world.start([break_late] * 2)
+    calling = asyncio.ensure_future(call(world, '/stream/x'))
+    await conftest.wait_for(lambda: world.count_arrivals() == 1)
+    await asyncio.sleep(0.1)
+    await revoke_key(world)
+    gate.set()
+    status, body = await calling
+    assert status == 200
+    assert body.count(b'data: ') == 4
+
+
 # A request that waited for its turn at a server runs with a revoked key.
 async def test_key_that_was_revoked_before_the_turn_runs_nothing(world):
     async def answer(engine, request, body):
