--- a/arbutuschute/platform/configuration.py
+++ b/arbutuschute/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from arbutuschute.contracts import routes
 from arbutuschute import decoding
-from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 
 TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
@@ -16,8 +16,8 @@
     'streaming': routes.Kind.STREAM,
 }
 _STATES = {
-    canary.Phase.COMPLETED: 'completed',
-    canary.Phase.ROLLED_BACK: 'rolled_back',
+    rollout_records.Phase.COMPLETED: 'completed',
+    rollout_records.Phase.ROLLED_BACK: 'rolled_back',
 }
 
 
@@ -157,7 +157,9 @@
     Raise ``msgspec.DecodeError`` if it is malformed.
     """
     found = decoding.decode_json(raw, _Rollout)
-    return canary.Order(found.service, found.target, found.duration_s, offset)
+    return rollout_records.Order(
+        found.service, found.target, found.duration_s, offset
+    )
 
 
 def make_status_key(service):
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -6,8 +6,8 @@
 from arbutuschute.platform import followers
 from arbutuschute.platform import readers
 from arbutuschute.platform import topics
-from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_records
 
 TOPIC = 'keyed.rollouts'
 PERIOD_S = 1.2
@@ -47,9 +47,9 @@
         )  # fmt: skip
 
     def _apply(self, record):
-        found = canary.decode(record.value)
+        found = rollout_records.decode(record.value)
         rollout = self._rollouts.apply(found)
-        if rollout is not None and isinstance(found, canary.Step):
+        if rollout is not None and isinstance(found, rollout_records.Step):
             self._log.info(
                 'rollout step',
                 service=found.service,
@@ -85,7 +85,10 @@
             return
         if not rollout.is_in_log:
             return
-        if rollout.is_announced and rollout.phase is not canary.Phase.RUNNING:
+        if (
+            rollout.is_announced
+            and rollout.phase is not rollout_records.Phase.RUNNING
+        ):
             await self._report_status(rollout)
             return
         for _ in range(MAX_STEP_ATTEMPTS):
@@ -96,7 +99,7 @@
             )
             if step is None or await self._put_step(rollout, step):
                 break
-        if rollout.phase is canary.Phase.RUNNING:
+        if rollout.phase is rollout_records.Phase.RUNNING:
             await self._put_evidence(rollout)
 
     def _is_old_version_idle(self, rollout):
@@ -123,7 +126,9 @@
         elif not evidence.new and not evidence.old:
             return
         key = f'evidence/{rollout.order.service}/{self._identity}'
-        answer = await self._store.put(TOPIC, key, canary.encode(evidence))
+        answer = await self._store.put(
+            TOPIC, key, rollout_records.encode(evidence)
+        )
         if isinstance(answer, result.Failure):
             self._log.warning(
                 'rollout evidence not written',
@@ -141,7 +146,7 @@
         key = f'step/{step.service}'
         is_first = not rollout.is_announced
         answer = await self._store.put(
-            TOPIC, key, canary.encode(step), at=self._topic.position
+            TOPIC, key, rollout_records.encode(step), at=self._topic.position
         )
         counts = rollout.comparison
         self._log.info(
@@ -161,7 +166,7 @@
         await self._topic.read(is_direct=True)
         if isinstance(answer, result.Failure):
             return False
-        if is_first or step.phase is not canary.Phase.RUNNING:
+        if is_first or step.phase is not rollout_records.Phase.RUNNING:
             await self._put_status(rollout)
         return True
 
@@ -214,7 +219,7 @@
             phase=rollout.phase.value,
             written=written,
         )
-        if written and rollout.phase is not canary.Phase.RUNNING:
+        if written and rollout.phase is not rollout_records.Phase.RUNNING:
             rollout.is_settled = True
 
 
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -5,19 +5,11 @@
 records before it.
 """
 
-import enum
-import typing
-
-import msgspec
-
-from arbutuschute import decoding
 from arbutuschute.policy import baseline
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_records
 from arbutuschute.zones import rendezvous
 
-# Share of sessions on the new version at each step. The first is below the
-# bound of exposure, which is 0.0975 or more.
-SHARES = (0.06, 0.4, 1.0)
 # Servers of the old version up to which the first share is that large; with
 # more it shrinks. More servers mean more requests. The trials that a decision
 # needs stay the same, while sessions that change version unseen grow in number
@@ -44,72 +36,6 @@
 LONG_STREAM_S = 6.0
 
 
-_Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
-_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-
-
-class Phase(enum.Enum):
-    """The phase of a roll-out."""
-
-    RUNNING = 'running'
-    COMPLETED = 'completed'
-    ROLLED_BACK = 'rolled-back'
-
-
-class Order(msgspec.Struct, frozen=True):
-    """Move a service's requests to a version within ``duration_s``.
-
-    ``offset`` is that of the operator's record and identifies the order until
-    the log is restored from an older copy.
-    """
-
-    service: str
-    version: str
-    duration_s: float
-    offset: int
-
-    @property
-    def content(self):
-        """What the operator ordered, wherever it stands in the log."""
-        return self.service, self.version, self.duration_s
-
-
-class Step(msgspec.Struct, frozen=True, tag='step'):
-    """A record that a roll-out has reached a share or its end."""
-
-    order: int
-    service: str
-    number: typing.Annotated[int, msgspec.Meta(ge=0, le=len(SHARES) - 1)]
-    phase: Phase
-    elapsed_s: _Seconds
-    first_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = SHARES[0]
-
-
-class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
-    """One instance's counts, as (failures, trials) by signal."""
-
-    order: int
-    service: str
-    instance: str
-    new: dict[str, tuple[_Count, _Count]]
-    old: dict[str, tuple[_Count, _Count]]
-    elapsed_s: _Seconds
-
-
-AnyRecord = Step | Evidence
-_decoder = decoding.make_json_decoder(AnyRecord)
-
-
-def encode(record):
-    """Return a step or evidence as JSON."""
-    return msgspec.json.encode(record)
-
-
-def decode(raw):
-    """Return the record in ``raw``; raise ``msgspec.DecodeError``."""
-    return _decoder.decode(raw)
-
-
 class Rollout:
     """The state of one order."""
 
@@ -127,10 +53,10 @@
         'started_at',
     )
 
-    def __init__(self, order, now, first_share=SHARES[0]):
+    def __init__(self, order, now, first_share=rollout_records.SHARES[0]):
         self.order = order
         self.first_share = first_share
-        self.phase = Phase.RUNNING
+        self.phase = rollout_records.Phase.RUNNING
         self.number = 0
         self.started_at = now
         self.ended_at = now
@@ -165,14 +91,16 @@
 
     def get_share(self, now):
         """Return the new version's share of sessions at ``now``."""
-        if self.phase is Phase.ROLLED_BACK:
+        if self.phase is rollout_records.Phase.ROLLED_BACK:
             return 0.0
-        if self.phase is Phase.COMPLETED:
+        if self.phase is rollout_records.Phase.COMPLETED:
             return 1.0
         number = self.find_step(now)
         if number is None:
             return 0.0
-        return SHARES[number] if number > 0 else self.first_share
+        return (
+            rollout_records.SHARES[number] if number > 0 else self.first_share
+        )
 
     def find_step(self, now):
         """Return the step in effect at ``now``, None before the first."""
@@ -184,16 +112,19 @@
     def apply(self, record, now):
         """Apply a record about this order; records come in log order."""
         self.started_at = min(self.started_at, now - record.elapsed_s)
-        if isinstance(record, Evidence):
+        if isinstance(record, rollout_records.Evidence):
             self.comparison.merge(record)
             return
-        if self.is_announced and self.phase is not Phase.RUNNING:
+        if (
+            self.is_announced
+            and self.phase is not rollout_records.Phase.RUNNING
+        ):
             return
         if self._is_behind(record):
             return
         self.is_announced = True
         self.first_share = record.first_share
-        if self.phase is record.phase is not Phase.RUNNING:
+        if self.phase is record.phase is not rollout_records.Phase.RUNNING:
             return
         self.phase = record.phase
         self.ended_at = now
@@ -206,9 +137,12 @@
 
         An instance that starts after the log was restored begins it anew.
         """
-        if self.phase is not Phase.RUNNING:
-            return step.phase is Phase.RUNNING
-        return step.phase is Phase.RUNNING and step.number < self.number
+        if self.phase is not rollout_records.Phase.RUNNING:
+            return step.phase is rollout_records.Phase.RUNNING
+        return (
+            step.phase is rollout_records.Phase.RUNNING
+            and step.number < self.number
+        )
 
     def record(self, version, signal, failed):
         """Record one outcome that this instance observed."""
@@ -229,7 +163,7 @@
 
     def make_evidence(self, instance, now):
         """Return the own counts as ``Evidence`` for the log."""
-        return Evidence(
+        return rollout_records.Evidence(
             self.order.offset,
             self.order.service,
             instance,
@@ -247,28 +181,36 @@
         elapsed = now - self.started_at
         if not self.is_announced:
             return self._make_step(self.number, self.phase, elapsed)
-        if self.phase is not Phase.RUNNING:
+        if self.phase is not rollout_records.Phase.RUNNING:
             return None
         if self.comparison.is_bad(instance):
-            return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
+            return self._make_step(
+                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
+            )
         duration = self.order.duration_s
         if elapsed < RAMP_FROM * duration:
             return None
-        is_last_step = self.number + 1 == len(SHARES)
+        is_last_step = self.number + 1 == len(rollout_records.SHARES)
         if not self.comparison.may_advance(instance, is_last_step):
             if elapsed < END_BY * duration:
                 return None
-            return self._make_step(self.number, Phase.ROLLED_BACK, elapsed)
+            return self._make_step(
+                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
+            )
         if now - self.stepped_at < STEP_TIME * duration:
             return None
-        if self.number + 1 < len(SHARES):
-            return self._make_step(self.number + 1, Phase.RUNNING, elapsed)
+        if self.number + 1 < len(rollout_records.SHARES):
+            return self._make_step(
+                self.number + 1, rollout_records.Phase.RUNNING, elapsed
+            )
         if old_idle or elapsed >= END_BY * duration:
-            return self._make_step(self.number, Phase.COMPLETED, elapsed)
+            return self._make_step(
+                self.number, rollout_records.Phase.COMPLETED, elapsed
+            )
         return None
 
     def _make_step(self, number, phase, elapsed):
-        return Step(
+        return rollout_records.Step(
             self.order.offset,
             self.order.service,
             number,
@@ -280,7 +222,9 @@
 
 def compute_first_share(servers):
     """Return the first share of a service with ``servers`` servers."""
-    return SHARES[0] * min(1.0, SERVERS_AT_FIRST_SHARE / max(1, servers))
+    return rollout_records.SHARES[0] * min(
+        1.0, SERVERS_AT_FIRST_SHARE / max(1, servers)
+    )
 
 
 def _is_only_version(version, servers):
@@ -365,14 +309,17 @@
         if rollout.order.offset != record.order:
             return None
         rollout.apply(record, self._now())
-        if rollout.phase is Phase.ROLLED_BACK:
+        if rollout.phase is rollout_records.Phase.ROLLED_BACK:
             self.rejected.add((record.service, rollout.order.version))
         return rollout
 
     def record(self, server, signal, failed):
         """Record an outcome, if the service has a running roll-out."""
         rollout = self.by_service.get(server.entry.service)
-        if rollout is not None and rollout.phase is Phase.RUNNING:
+        if (
+            rollout is not None
+            and rollout.phase is rollout_records.Phase.RUNNING
+        ):
             rollout.record(server.entry.version, signal, failed)
 
     def record_time(self, server, kind, seconds):
@@ -380,7 +327,10 @@
         entry = server.entry
         key = entry.service, kind
         rollout = self.by_service.get(entry.service)
-        if rollout is not None and rollout.phase is Phase.RUNNING:
+        if (
+            rollout is not None
+            and rollout.phase is rollout_records.Phase.RUNNING
+        ):
             ratio = self._baseline.compute_ratio(key, seconds)
             rollout.record_pace(entry.version, ratio, self._now())
             if entry.version == rollout.order.version:
@@ -403,7 +353,10 @@
         uses_new = self._uses_new(rollout, service, key)
         if not uses_new:
             self._record_old((service, key))
-        if rollout is None or rollout.phase is Phase.ROLLED_BACK:
+        if (
+            rollout is None
+            or rollout.phase is rollout_records.Phase.ROLLED_BACK
+        ):
             return usable
         version = rollout.order.version
         chosen = [
--- /dev/null
+++ b/arbutuschute/policy/rollout_records.py
@@ -0,0 +1,77 @@
+"""Records of roll-outs in the log: orders, steps and evidence."""
+
+import enum
+import typing
+
+import msgspec
+
+from arbutuschute import decoding
+
+# Share of sessions on the new version at each step. The first is below the
+# bound of exposure, which is 0.0975 or more.
+SHARES = (0.06, 0.4, 1.0)
+
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class Phase(enum.Enum):
+    """The phase of a roll-out."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled-back'
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Move a service's requests to a version within ``duration_s``.
+
+    ``offset`` is that of the operator's record and identifies the order until
+    the log is restored from an older copy.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+    offset: int
+
+    @property
+    def content(self):
+        """What the operator ordered, wherever it stands in the log."""
+        return self.service, self.version, self.duration_s
+
+
+class Step(msgspec.Struct, frozen=True, tag='step'):
+    """A record that a roll-out has reached a share or its end."""
+
+    order: int
+    service: str
+    number: typing.Annotated[int, msgspec.Meta(ge=0, le=len(SHARES) - 1)]
+    phase: Phase
+    elapsed_s: _Seconds
+    first_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = SHARES[0]
+
+
+class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
+    """One instance's counts, as (failures, trials) by signal."""
+
+    order: int
+    service: str
+    instance: str
+    new: dict[str, tuple[_Count, _Count]]
+    old: dict[str, tuple[_Count, _Count]]
+    elapsed_s: _Seconds
+
+
+AnyRecord = Step | Evidence
+_decoder = decoding.make_json_decoder(AnyRecord)
+
+
+def encode(record):
+    """Return a step or evidence as JSON."""
+    return msgspec.json.encode(record)
+
+
+def decode(raw):
+    """Return the record in ``raw``; raise ``msgspec.DecodeError``."""
+    return _decoder.decode(raw)
--- a/tests/outer/records.py
+++ b/tests/outer/records.py
@@ -26,8 +26,8 @@
 from arbutuschute.platform import configuration
 from arbutuschute.platform import names
 from arbutuschute.platform import settings as node_settings
-from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_records
 from arbutuschute import streams
 from tests.outer import source
 from tests.outer import wire
@@ -122,7 +122,7 @@
 
 def list_places():
     """Return names of streams and keys, and statuses for the operator."""
-    order = canary.Order('chat', 'v2', 60.0, 4)
+    order = rollout_records.Order('chat', 'v2', 60.0, 4)
     read = configuration.decode_order(
         b'{"service":"chat","target":"v2","durationS":60}', 4
     )
@@ -143,7 +143,7 @@
         'keyed.status key': configuration.make_status_key('chat'),
         'keyed.status values': [
             configuration.encode_status(order, phase).decode()
-            for phase in canary.Phase
+            for phase in rollout_records.Phase
         ],
         'keyed.op rollout is read whole': read == order,
         'batch': changes.encode_batch([wire.list_changes()[2]]).decode(),
--- a/tests/outer/shapes.py
+++ b/tests/outer/shapes.py
@@ -26,7 +26,7 @@
 from arbutuschute.platform import directory
 from arbutuschute.platform import readers
 from arbutuschute.platform import store
-from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 from arbutuschute import settings
 from arbutuschute.standin import faults
 from arbutuschute.zones import log_cache
@@ -48,7 +48,7 @@
     'log answer': log.Page,
     'log append answer': log._Appended,
     'session token': pins.Token,
-    'keyed.rollouts': canary.AnyRecord,
+    'keyed.rollouts': rollout_records.AnyRecord,
     'keyed.readers': readers._Entry,
     'keyed.servers': directory._Entry,
     'keyed.op config': configuration._Configuration,
--- a/tests/outer/wire.py
+++ b/tests/outer/wire.py
@@ -21,9 +21,9 @@
 from arbutuschute import messages
 from arbutuschute.platform import observations
 from arbutuschute.platform import readers
-from arbutuschute.policy import canary
 from arbutuschute.policy import quarantine
 from arbutuschute.policy import rate_limits
+from arbutuschute.policy import rollout_records
 from arbutuschute.zones import log_cache
 
 SENDER = {'sender': 'mtl-a-1', 'incarnation': 7}
@@ -186,7 +186,7 @@
         'w-1', 'insurer', 'k-1', 'yes', 200, 'application/json', b'{}'
     )
     counts = {'error': (1, 20), 'slow': (2, 30)}
-    evidence = canary.Evidence(4, 'chat', 'mtl-a-1', counts, {}, 2.5)
+    evidence = rollout_records.Evidence(4, 'chat', 'mtl-a-1', counts, {}, 2.5)
     cases += [
         (
             'configuration service profile', SERVICE_PROFILE, encode,
@@ -210,16 +210,19 @@
             )
             for o in (CRASH, ANSWERED, VERDICT, LIMITS)
         ),
-        ('keyed.rollouts evidence', evidence, canary.encode, canary.decode),
+        ('keyed.rollouts evidence', evidence, rollout_records.encode,
+         rollout_records.decode),
         (
             'keyed.readers', readers._Entry('10.0.0.1:7', 'mtl-a-1'), encode,
             make_typed(readers._Entry),
         ),
     ]  # fmt: skip
-    for phase in canary.Phase:
-        step = canary.Step(4, 'chat', 1, phase, 2.5, 0.03)
+    for phase in rollout_records.Phase:
+        step = rollout_records.Step(4, 'chat', 1, phase, 2.5, 0.03)
         name = f'keyed.rollouts step {phase.value}'
-        cases.append((name, step, canary.encode, canary.decode))
+        cases.append(
+            (name, step, rollout_records.encode, rollout_records.decode)
+        )
     return cases
 
 
--- a/tests/platform/test_hand_over.py
+++ b/tests/platform/test_hand_over.py
@@ -15,9 +15,9 @@
 from arbutuschute.platform import configuration
 from arbutuschute.platform import rollouts
 from arbutuschute.platform import store as store_module
-from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 
-ORDER = canary.Order('s', 'v2', 10.0, 5)
+ORDER = rollout_records.Order('s', 'v2', 10.0, 5)
 KEY = configuration.make_status_key('s')
 
 
@@ -64,7 +64,7 @@
 class Rollout:
     def __init__(self):
         self.order = ORDER
-        self.phase = canary.Phase.RUNNING
+        self.phase = rollout_records.Phase.RUNNING
         self.is_settled = False
 
 
@@ -89,19 +89,19 @@
     task, store, rollout = paused
 
     def complete():
-        task._topic.phase = canary.Phase.COMPLETED
-        store.written.append(encode(canary.Phase.COMPLETED))
+        task._topic.phase = rollout_records.Phase.COMPLETED
+        store.written.append(encode(rollout_records.Phase.COMPLETED))
 
     store.before_put.append(complete)
     await task._put_status(rollout)
-    assert store.written[-1] == encode(canary.Phase.COMPLETED)
+    assert store.written[-1] == encode(rollout_records.Phase.COMPLETED)
 
 
 async def test_status_is_that_of_the_log(paused):
     task, store, rollout = paused
-    task._topic.phase = canary.Phase.ROLLED_BACK
+    task._topic.phase = rollout_records.Phase.ROLLED_BACK
     await task._put_status(rollout)
-    assert store.written == [encode(canary.Phase.ROLLED_BACK)]
+    assert store.written == [encode(rollout_records.Phase.ROLLED_BACK)]
     assert rollout.is_settled
 
 
@@ -109,7 +109,7 @@
     task, store, rollout = paused
     store.before_put.append(lambda: store.written.append(b'{}'))
     await task._put_status(rollout)
-    assert store.written[-1] == encode(canary.Phase.RUNNING)
+    assert store.written[-1] == encode(rollout_records.Phase.RUNNING)
 
 
 async def test_no_status_is_written_while_the_store_is_away(paused):
@@ -122,6 +122,6 @@
 
 async def test_two_writers_at_once_leave_the_last_phase(paused):
     task, store, rollout = paused
-    rollout.phase = task._topic.phase = canary.Phase.COMPLETED
+    rollout.phase = task._topic.phase = rollout_records.Phase.COMPLETED
     await asyncio.gather(task._put_status(rollout), task._put_status(rollout))
-    assert set(store.written) == {encode(canary.Phase.COMPLETED)}
+    assert set(store.written) == {encode(rollout_records.Phase.COMPLETED)}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 
 from arbutuschute import instance
 from arbutuschute.platform import followers
-from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 from tests.platform import conftest
 from tests.platform import standin
 
@@ -259,9 +259,13 @@
 
 async def test_instance_starts_with_the_steps_of_a_rollout(world):
     order = {'service': 'plain', 'target': 'v2', 'durationS': 6}
-    step = canary.Step(0, 'plain', 2, canary.Phase.COMPLETED, 5.0)
+    step = rollout_records.Step(
+        0, 'plain', 2, rollout_records.Phase.COMPLETED, 5.0
+    )
     world.store.put('keyed.op', 'rollout/plain', order)
-    world.store.put_raw('keyed.rollouts', 'step/plain', canary.encode(step))
+    world.store.put_raw(
+        'keyed.rollouts', 'step/plain', rollout_records.encode(step)
+    )
     await world.add_engine('i-new', version='v2')
     await world.start(answers=())
     assert await send(world) == 200
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -9,6 +9,7 @@
 from arbutuschute.policy import baseline
 from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_records
 
 
 class Clock:
@@ -29,7 +30,7 @@
 def make_rollout(duration_s=24.0):
     clock = Clock()
     rollouts = canary.Rollouts(clock)
-    rollouts.apply_order(canary.Order('s', 'v2', duration_s, 7))
+    rollouts.apply_order(rollout_records.Order('s', 'v2', duration_s, 7))
     return clock, rollouts, rollouts.by_service['s']
 
 
@@ -74,7 +75,7 @@
             clock.time = now
         number = rng.randrange(instances)
         _, rollouts, rollout = fleet[number]
-        if rollout.phase is canary.Phase.RUNNING:
+        if rollout.phase is rollout_records.Phase.RUNNING:
             chosen = rollouts.select(
                 's', candidates, f'{seed}-{rng.random()}'
             )[0]
@@ -91,13 +92,13 @@
                 continue
             next_tick[number] = now + rng.uniform(0.7, 1.0)
             for record in log[read[number] :]:
-                rollouts.apply(canary.decode(record))
+                rollouts.apply(rollout_records.decode(record))
             read[number] = len(log)
             step = rollout.decide(f'i{number}', now, True)
             # This instance has read the whole log, so its step is appended.
             records = [step] if step else []
             records.append(rollout.make_evidence(f'i{number}', now))
-            log.extend(canary.encode(record) for record in records)
+            log.extend(rollout_records.encode(record) for record in records)
     phases = {rollout.phase for _, _, rollout in fleet}
     assert len(phases) == 1
     return phases.pop(), to_new, bad, requests
@@ -107,7 +108,7 @@
 @pytest.mark.parametrize('error_rate', [0.3, 0.5])
 def test_bad_version_is_rolled_back_within_the_bound(error_rate, seed):
     phase, to_new, bad, requests = play(error_rate, seed)
-    assert phase is canary.Phase.ROLLED_BACK
+    assert phase is rollout_records.Phase.ROLLED_BACK
     assert to_new <= 0.15 * requests + 30
     assert bad < 50
 
@@ -115,7 +116,7 @@
 @pytest.mark.parametrize('seed', range(8))
 def test_good_version_is_completed_in_time(seed):
     phase, _, _, _ = play(0.004, seed)
-    assert phase is canary.Phase.COMPLETED
+    assert phase is rollout_records.Phase.COMPLETED
 
 
 # A version that is several times slower, but not slow enough to miss a target.
@@ -125,7 +126,7 @@
     phase, to_new, _, requests = play(
         0.004, seed, duration_s, sample_gap=sample_slow_gap_s
     )
-    assert phase is canary.Phase.ROLLED_BACK
+    assert phase is rollout_records.Phase.ROLLED_BACK
     assert to_new <= 0.15 * requests + 30
 
 
@@ -138,7 +139,7 @@
         return sample_good_gap_s(rng, version, now + shift_s)
 
     phase, _, _, _ = play(0.004, seed, sample_gap=sample)
-    assert phase is canary.Phase.COMPLETED
+    assert phase is rollout_records.Phase.COMPLETED
 
 
 def test_times_are_not_compared_once_all_requests_use_the_new_version():
@@ -150,7 +151,9 @@
     rollouts.record_time(new, 'model', 0.4)
     rollouts.record_time(new, 'other', 0.4)
     assert rollout.comparison.sum_counts('new', 'slower-0', 'i') == (1, 1)
-    rollouts.apply(canary.Step(7, 's', 2, canary.Phase.RUNNING, 4.0))
+    rollouts.apply(
+        rollout_records.Step(7, 's', 2, rollout_records.Phase.RUNNING, 4.0)
+    )
     clock.time += canary.EFFECT_DELAY_S
     rollouts.record_time(new, 'model', 0.4)
     assert rollout.comparison.sum_counts('new', 'slower-0', 'i') == (1, 1)
@@ -191,11 +194,13 @@
             if now >= next_tick[number]:
                 next_tick[number] = now + rng.uniform(1.0, 1.4)
                 for record in log[read[number] :]:
-                    rollouts.apply(canary.decode(record))
+                    rollouts.apply(rollout_records.decode(record))
                 step = rollout.decide(f'i{number}', now, True)
                 evidence = rollout.make_evidence(f'i{number}', now)
                 read[number] = len(log)
-                log += [canary.encode(r) for r in (step, evidence) if r]
+                log += [
+                    rollout_records.encode(r) for r in (step, evidence) if r
+                ]
         number = rng.randrange(len(fleet))
         _, rollouts, _ = fleet[number]
         session = str(int(now / 2.0) * 30 + rng.randrange(30))
@@ -212,19 +217,24 @@
 
 def test_first_end_in_the_log_is_the_end_of_a_rollout():
     _, rollouts, rollout = make_rollout()
-    for phase in (canary.Phase.ROLLED_BACK, canary.Phase.COMPLETED):
-        rollouts.apply(canary.Step(7, 's', 0, phase, 1.0))
-    assert rollout.phase is canary.Phase.ROLLED_BACK
+    for phase in (
+        rollout_records.Phase.ROLLED_BACK,
+        rollout_records.Phase.COMPLETED,
+    ):
+        rollouts.apply(rollout_records.Step(7, 's', 0, phase, 1.0))
+    assert rollout.phase is rollout_records.Phase.ROLLED_BACK
 
 
 def test_rejected_version_gets_no_requests_until_it_is_ordered_again():
     clock, rollouts, _ = make_rollout()
     candidates = [make_server('old'), make_server('new', version='v2')]
-    step = canary.Step(7, 's', 0, canary.Phase.ROLLED_BACK, 1.0)
+    step = rollout_records.Step(
+        7, 's', 0, rollout_records.Phase.ROLLED_BACK, 1.0
+    )
     rollouts.apply(step)
     for number in range(50):
         assert rollouts.select('s', candidates, f'{number}') == [candidates[0]]
-    rollouts.apply_order(canary.Order('s', 'v2', 24.0, 9))
+    rollouts.apply_order(rollout_records.Order('s', 'v2', 24.0, 9))
     clock.time += 5.0
     chosen = [rollouts.select('s', candidates, f'{n}')[0] for n in range(300)]
     assert candidates[1] in chosen
@@ -233,11 +243,13 @@
 def test_instance_started_during_a_rollout_estimates_its_start():
     clock, rollouts, rollout = make_rollout()
     clock.time = 1.0
-    rollouts.apply(canary.Step(7, 's', 1, canary.Phase.RUNNING, 14.0))
+    rollouts.apply(
+        rollout_records.Step(7, 's', 1, rollout_records.Phase.RUNNING, 14.0)
+    )
     assert clock.time - rollout.started_at >= 13.0
-    assert rollout.get_share(clock.time) == canary.SHARES[0]
+    assert rollout.get_share(clock.time) == rollout_records.SHARES[0]
     clock.time += canary.EFFECT_DELAY_S
-    assert rollout.get_share(clock.time) == canary.SHARES[1]
+    assert rollout.get_share(clock.time) == rollout_records.SHARES[1]
 
 
 @pytest.mark.parametrize('seed', range(8))
@@ -261,7 +273,7 @@
             continue
         clock.time = now
         if now > 10.0 and not rollouts.by_service:
-            rollouts.apply_order(canary.Order('s', 'v2', 24.0, 7))
+            rollouts.apply_order(rollout_records.Order('s', 'v2', 24.0, 7))
         chosen = rollouts.select('s', candidates, session)[0].entry.version
         moved += seen.get(session, chosen) != chosen
         on_new += chosen == 'v2'
@@ -275,12 +287,12 @@
 
 def test_first_share_shrinks_with_the_fleet_and_is_announced_to_all():
     clock, rollouts, rollout = make_rollout()
-    assert rollout.first_share == canary.SHARES[0]
+    assert rollout.first_share == rollout_records.SHARES[0]
     large = canary.Rollouts(clock)
-    large.apply_order(canary.Order('s', 'v2', 24.0, 7), servers=45)
+    large.apply_order(rollout_records.Order('s', 'v2', 24.0, 7), servers=45)
     announced = large.by_service['s'].decide('i', 0.0, True)
     assert announced.first_share == pytest.approx(0.012)
-    rollouts.apply(canary.decode(canary.encode(announced)))
+    rollouts.apply(rollout_records.decode(rollout_records.encode(announced)))
     assert rollout.get_share(4.0) == pytest.approx(0.012)
 
 
@@ -304,7 +316,7 @@
             is_ordered = True
             for rollouts in fleet:
                 rollouts.apply_order(
-                    canary.Order('s', 'v2', 24.0, 7), servers=30
+                    rollout_records.Order('s', 'v2', 24.0, 7), servers=30
                 )
         session = rng.choice(sessions)
         if rng.random() < 0.3:
@@ -324,7 +336,9 @@
     """Return a roll-out near its end, with that many slower responses."""
     clock, rollouts, rollout = make_rollout(15.0)
     clock.time = 8.0
-    rollouts.apply(canary.Step(7, 's', 1, canary.Phase.RUNNING, 8.0))
+    rollouts.apply(
+        rollout_records.Step(7, 's', 1, rollout_records.Phase.RUNNING, 8.0)
+    )
     for number in range(200):
         rollout.comparison.record('old', 'error', False)
         rollout.comparison.record('old', 'slower-0', number % 4 == 0)
@@ -341,12 +355,14 @@
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 12.0, True) is None
     step = rollout.decide('i', canary.END_BY * 15.0, True)
-    assert step.phase is canary.Phase.ROLLED_BACK
+    assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
 def make_failing(failures, trials, old_failures, old_trials):
     clock, rollouts, rollout = make_rollout(24.0)
-    rollouts.apply(canary.Step(7, 's', 0, canary.Phase.RUNNING, 0.0))
+    rollouts.apply(
+        rollout_records.Step(7, 's', 0, rollout_records.Phase.RUNNING, 0.0)
+    )
     for side, count, failed in (
         ('new', trials, failures), ('old', old_trials, old_failures)
     ):  # fmt: skip
@@ -365,7 +381,7 @@
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 15.0, True) is None
     step = rollout.decide('i', canary.END_BY * 24.0, True)
-    assert step.phase is canary.Phase.ROLLED_BACK
+    assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
 @pytest.mark.parametrize('new', [(0, 14), (1, 14), (2, 30)])
@@ -378,9 +394,12 @@
 def test_completed_share_is_not_compared_with_failures_of_another_time():
     rollout = make_failing(10, 60, 3, 200)
     assert rollout.decide('i', 15.0, True) is None
-    rollout.apply(canary.Step(7, 's', 2, canary.Phase.RUNNING, 15.0), 15.0)
+    rollout.apply(
+        rollout_records.Step(7, 's', 2, rollout_records.Phase.RUNNING, 15.0),
+        15.0,
+    )
     step = rollout.decide('i', 22.0, True)
-    assert step.phase is canary.Phase.COMPLETED
+    assert step.phase is rollout_records.Phase.COMPLETED
 
 
 def test_version_with_as_many_slower_responses_as_the_old_one_is_advanced():
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,8 +20,8 @@
 from arbutuschute import messages
 from arbutuschute.platform import configuration
 from arbutuschute.platform import directory
-from arbutuschute.policy import canary
 from arbutuschute.policy import rate_limits
+from arbutuschute.policy import rollout_records
 from arbutuschute.zones import log_cache
 
 DEPTH = 100_000
@@ -55,7 +55,7 @@
     decoding.decode_json,
     configuration.decode_table,
     lambda raw: configuration.decode_order(raw, 0),
-    canary.decode,
+    rollout_records.decode,
 ]
 
 
@@ -121,11 +121,11 @@
             {'first_share': 2}, {'phase': 'odd'}],
 )  # fmt: skip
 def test_steps_out_of_range_are_refused(odd):
-    step = canary.Step(7, 's', 2, canary.Phase.RUNNING, 1.0)
-    sound = json.loads(canary.encode(step))
-    assert canary.decode(json.dumps(sound).encode()) == step
+    step = rollout_records.Step(7, 's', 2, rollout_records.Phase.RUNNING, 1.0)
+    sound = json.loads(rollout_records.encode(step))
+    assert rollout_records.decode(json.dumps(sound).encode()) == step
     with pytest.raises(msgspec.DecodeError):
-        canary.decode(json.dumps({**sound, **odd}).encode())
+        rollout_records.decode(json.dumps({**sound, **odd}).encode())
 
 
 @pytest.mark.parametrize(
--- a/tests/test_restored_rollout.py
+++ b/tests/test_restored_rollout.py
@@ -16,6 +16,7 @@
 from arbutuschute.platform import rollouts as rollouts_module
 from arbutuschute.platform import store
 from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 from tests import stepping
 from tests import test_followers
 
@@ -103,7 +104,7 @@
 
     def order(self, offset, version='v2'):
         """Let every instance read the operator's order at an offset."""
-        order = canary.Order('s', version, DURATION_S, offset)
+        order = rollout_records.Order('s', version, DURATION_S, offset)
         for known in self.known:
             known.apply_order(order)
             for served in ('v1', 'v2'):
@@ -154,7 +155,7 @@
             ((number, _),) = fleet.list_states()
             assert number >= before
             assert fleet.store.puts - puts <= 2 * (PEERS + 1)
-            await run_to_phase(fleet, canary.Phase.COMPLETED)
+            await run_to_phase(fleet, rollout_records.Phase.COMPLETED)
 
 
 async def test_lost_end_and_its_status_are_written_again():
@@ -164,7 +165,7 @@
     async with stepping.run_together(tasks):
         await fleet.timer.run_until(1.0)
         copy = fleet.store.copy()
-        await run_to_phase(fleet, canary.Phase.COMPLETED)
+        await run_to_phase(fleet, rollout_records.Phase.COMPLETED)
         await fleet.timer.run_until(fleet.timer.now() + 3.0)
         status = fleet.store.find_status()
         fleet.restore(copy)
@@ -174,7 +175,7 @@
             fleet.order(3)
             await fleet.timer.run_until(fleet.timer.now() + AGREED_WITHIN_S)
             states = {phase for _, phase in fleet.list_states()}
-            assert states == {canary.Phase.COMPLETED}
+            assert states == {rollout_records.Phase.COMPLETED}
             assert fleet.store.find_status() == status
 
 
@@ -197,28 +198,28 @@
 
 def test_order_that_a_later_one_had_replaced_is_not_begun_again():
     known = make_rollouts()
-    known.apply_order(canary.Order('s', 'v2', DURATION_S, 3))
-    known.apply_order(canary.Order('s', 'v3', DURATION_S, 8))
+    known.apply_order(rollout_records.Order('s', 'v2', DURATION_S, 3))
+    known.apply_order(rollout_records.Order('s', 'v3', DURATION_S, 8))
     rollout = known.by_service['s']
     known.begin_era()
-    known.apply_order(canary.Order('s', 'v2', DURATION_S, 3))
+    known.apply_order(rollout_records.Order('s', 'v2', DURATION_S, 3))
     assert known.by_service['s'] is rollout
-    known.apply_order(canary.Order('s', 'v3', DURATION_S, 5))
+    known.apply_order(rollout_records.Order('s', 'v3', DURATION_S, 5))
     assert known.by_service['s'] is rollout
     assert rollout.order.offset == 5
 
 
 def test_new_order_after_the_return_is_begun():
     known = make_rollouts()
-    known.apply_order(canary.Order('s', 'v2', DURATION_S, 9))
+    known.apply_order(rollout_records.Order('s', 'v2', DURATION_S, 9))
     known.begin_era()
-    known.apply_order(canary.Order('s', 'v4', DURATION_S, 2))
+    known.apply_order(rollout_records.Order('s', 'v4', DURATION_S, 2))
     assert known.by_service['s'].order.version == 'v4'
 
 
 def test_same_version_ordered_again_in_one_era_is_a_new_order():
     known = make_rollouts()
-    known.apply_order(canary.Order('s', 'v2', DURATION_S, 3))
+    known.apply_order(rollout_records.Order('s', 'v2', DURATION_S, 3))
     rollout = known.by_service['s']
-    known.apply_order(canary.Order('s', 'v2', DURATION_S, 4))
+    known.apply_order(rollout_records.Order('s', 'v2', DURATION_S, 4))
     assert known.by_service['s'] is not rollout
--- a/tests/test_rollout_writers.py
+++ b/tests/test_rollout_writers.py
@@ -19,9 +19,10 @@
 from arbutuschute.platform import rollouts as rollouts_module
 from arbutuschute.platform import store
 from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_records
 from tests import test_followers
 
-ORDER = canary.Order('s', 'v2', 24.0, 7)
+ORDER = rollout_records.Order('s', 'v2', 24.0, 7)
 NOW_S = 20.0
 ROUNDS = 3
 
@@ -78,7 +79,9 @@
 
     def seed(self, record):
         key = f'step/{record.service}'
-        raw = bytes((len(key),)) + key.encode() + canary.encode(record)
+        raw = (
+            bytes((len(key),)) + key.encode() + rollout_records.encode(record)
+        )
         self.topics.setdefault(rollouts_module.TOPIC, []).append(raw)
 
 
@@ -124,8 +127,12 @@
     number of steps after which each is killed.
     """
     shared = SteppedStore(lost_put)
-    shared.seed(canary.Step(7, 's', 0, canary.Phase.RUNNING, 0.5))
-    shared.seed(canary.Step(7, 's', 2, canary.Phase.RUNNING, 14.0))
+    shared.seed(
+        rollout_records.Step(7, 's', 0, rollout_records.Phase.RUNNING, 0.5)
+    )
+    shared.seed(
+        rollout_records.Step(7, 's', 2, rollout_records.Phase.RUNNING, 14.0)
+    )
     running = {
         'a': run_rounds(make_instance(shared, 'a', failures=30)),
         'b': run_rounds(make_instance(shared, 'b', failures=0)),
@@ -166,23 +173,23 @@
 
 
 def assert_one_end(shared, rollout):
-    assert rollout.phase is not canary.Phase.RUNNING
+    assert rollout.phase is not rollout_records.Phase.RUNNING
     ends = [
         record.phase
         for record in map(
-            canary.decode,
+            rollout_records.decode,
             (
                 store.split_keyed(raw, 0).value
                 for raw in shared.topics[rollouts_module.TOPIC]
             ),
         )
-        if isinstance(record, canary.Step)
-        and record.phase is not canary.Phase.RUNNING
+        if isinstance(record, rollout_records.Step)
+        and record.phase is not rollout_records.Phase.RUNNING
     ]
     assert ends[0] is rollout.phase
     wanted = configuration.encode_status(ORDER, rollout.phase)
     assert shared.statuses[-1] == wanted
-    running = configuration.encode_status(ORDER, canary.Phase.RUNNING)
+    running = configuration.encode_status(ORDER, rollout_records.Phase.RUNNING)
     assert set(shared.statuses) <= {wanted, running}
 
 
@@ -205,9 +212,9 @@
 def test_check_catches_a_status_that_is_not_in_the_log():
     shared, rollout = play('ab' * 5, {'a': UNLIMITED, 'b': UNLIMITED}, 0)
     other = (
-        canary.Phase.COMPLETED
-        if rollout.phase is canary.Phase.ROLLED_BACK
-        else canary.Phase.ROLLED_BACK
+        rollout_records.Phase.COMPLETED
+        if rollout.phase is rollout_records.Phase.ROLLED_BACK
+        else rollout_records.Phase.ROLLED_BACK
     )
     shared.statuses.insert(0, configuration.encode_status(ORDER, other))
     with pytest.raises(AssertionError):
@@ -229,7 +236,9 @@
 
 def test_evidence_that_was_not_written_is_written_later():
     shared = RefusingStore()
-    shared.seed(canary.Step(7, 's', 0, canary.Phase.RUNNING, 0.5))
+    shared.seed(
+        rollout_records.Step(7, 's', 0, rollout_records.Phase.RUNNING, 0.5)
+    )
     task = make_instance(shared, 'a', 0)
     run_alone(task._topic.read())
     (rollout,) = task._rollouts.by_service.values()
