One place each for ended servers, attempts left, the deadline's failure and a suspend in tests

No assertion changes. - SizeReports kept a clock that nothing read. The sample of log lines has 'server checked' once again, as before.

--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -81,7 +81,7 @@
         return data[size:]
 
     def _find_length(self, message):
-        """Return the bytes of the body, None if its end isn't stated."""
+        """Return the size of the body in bytes, None if it isn't stated."""
         if self._skip_payload:
             return 0
         if message.chunked or message.upgrade:
--- a/arbutuschute/machines/crashes.py
+++ b/arbutuschute/machines/crashes.py
@@ -101,22 +101,20 @@
         self._apply(report.make_crash(server, suspected, has_begun))
 
     async def has_ended(self, server):
-        """Return whether no process listens at a silent server's address.
+        """Return whether no process listens at a server's address.
 
         It then isn't tried for a while.
         """
         ended = await is_refusing_connections(server.host_port)
+        self._log.info('server checked', server=server.name, crashed=ended)
         if ended:
             server.pause(self._timer.now() + CRASHED_PAUSE_S)
-        self._log.info('server checked', server=server.name, crashed=ended)
         return ended
 
     async def _confirm(self, server):
         incarnation = server.incarnation
-        crashed = await is_refusing_connections(server.host_port)
-        self._log.info('server checked', server=server.name, crashed=crashed)
+        crashed = await self.has_ended(server)
         if crashed:
-            server.pause(self._timer.now() + CRASHED_PAUSE_S)
             self._metrics.count('servers.crashed')
             self._timer.call_after(
                 COLLECT_S, lambda: self._share_crash(server)
--- a/arbutuschute/policy/retry.py
+++ b/arbutuschute/policy/retry.py
@@ -5,7 +5,7 @@
 RETRIES_PER_REQUEST = 0.1
 MAX_BUDGET = 10.0
 MAX_ATTEMPTS = 3
-# Attempts beyond that, as those that did not run don't count against it.
+# Attempts beyond the limit of those that count.
 MAX_EXCUSED_ATTEMPTS = 4
 
 
@@ -32,14 +32,26 @@
         return True
 
 
+def has_attempts_left(attempts, excused, max_attempts):
+    """Return whether a request may be sent once more, by its attempts.
+
+    ``excused`` of them don't count against ``max_attempts``, as they did not
+    run or their server has ended.
+    """
+    return (
+        attempts - excused < max_attempts
+        and attempts < max_attempts + MAX_EXCUSED_ATTEMPTS
+    )
+
+
 def may_retry(failure, attempts, excused, idempotent, answer_started):
     """Return whether the request may be sent once more.
 
     ``excused`` counts those of the attempts that certainly did not run.
     Work that must not run twice is retried only if it certainly never ran.
     """
-    if attempts - excused >= MAX_ATTEMPTS or answer_started:
-        return False
-    if attempts >= MAX_ATTEMPTS + MAX_EXCUSED_ATTEMPTS:
+    if answer_started or not has_attempts_left(
+        attempts, excused, MAX_ATTEMPTS
+    ):
         return False
     return idempotent or failure.ran is errors.Ran.NO
--- a/arbutuschute/traffic/handler.py
+++ b/arbutuschute/traffic/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from arbutuschute import errors
+from arbutuschute.traffic import permission
 from arbutuschute.traffic import relay
 from arbutuschute.traffic import whole
 
@@ -27,9 +28,7 @@
             else:
                 await whole.run(environment, request, reply)
     except TimeoutError:
-        raise errors.DeadlinePassed(
-            int((request.deadline_at - request.received_at) * 1000)
-        ).mark_ran(request.known_ran) from None
+        raise permission.make_deadline_failure(request) from None
     finally:
         environment.in_flight -= 1
 
--- a/arbutuschute/traffic/permission.py
+++ b/arbutuschute/traffic/permission.py
@@ -16,9 +16,7 @@
     begun to get is not broken off: it began while the key was valid.
     """
     if environment.now() >= request.deadline_at:
-        raise errors.DeadlinePassed(
-            int((request.deadline_at - request.received_at) * 1000)
-        ).mark_ran(request.known_ran)
+        raise make_deadline_failure(request)
     if not request.attempts and not environment.freshness.is_valid:
         raise errors.CutOff(environment.name)
     table = environment.table
@@ -28,3 +26,9 @@
         table.find_organisation(request.route, request.key)
     except errors.UnknownKey as failure:
         raise failure.mark_ran(request.known_ran) from None
+
+
+def make_deadline_failure(request):
+    """Return the ``DeadlinePassed`` of a request."""
+    deadline_ms = int((request.deadline_at - request.received_at) * 1000)
+    return errors.DeadlinePassed(deadline_ms).mark_ran(request.known_ran)
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -112,11 +112,6 @@
             return errors.Ran.UNKNOWN
         return self.ran
 
-    @property
-    def counted_attempts(self):
-        """The attempts that count against the route's limit."""
-        return self.attempts - self.excused_attempts
-
     @property
     def prompt_parts(self):
         """The names of the prompt's parts that other requests may share."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -6,12 +6,11 @@
 from arbutuschute import logs
 from arbutuschute.machines import statements
 from arbutuschute.policy import placement
+from arbutuschute.policy import retry
 from arbutuschute.traffic import permission
 
 # Another attempt needs at least this much time before the deadline.
 MIN_LEFT_S = 0.03
-# Attempts beyond the route's limit, as some don't count against it.
-MAX_EXCUSED_ATTEMPTS = 4
 MAX_LOGGED_PARTS = 8
 # How long a request may wait for its turn at a server with a rate limit, as a
 # multiple of the route's target.
@@ -225,9 +224,9 @@
 def _find_reason_against_retry(environment, request, ran):
     """Return why a request must not be retried, or None."""
     route = request.route
-    if request.counted_attempts >= route.max_attempts:
-        return 'attempts'
-    if request.attempts >= route.max_attempts + MAX_EXCUSED_ATTEMPTS:
+    if not retry.has_attempts_left(
+        request.attempts, request.excused_attempts, route.max_attempts
+    ):
         return 'attempts'
     if ran is not errors.Ran.NO and not route.is_retryable:
         return 'once'
--- a/arbutuschute/zones/fleet_size.py
+++ b/arbutuschute/zones/fleet_size.py
@@ -101,7 +101,7 @@
     to the other instances.
     """
 
-    __slots__ = ('_fleet_size', '_is_reader', '_now', '_peers', '_pending',
+    __slots__ = ('_fleet_size', '_is_reader', '_peers', '_pending',
                  '_pending_since', '_publish', '_region',
                  '_zone')  # fmt: skip
 
@@ -109,7 +109,6 @@
                  publish):  # fmt: skip
         self._fleet_size = fleet_size
         self._peers = peers
-        self._now = timer.now
         self._zone, self._region = location
         self._is_reader = is_reader
         self._publish = publish
--- a/tests/platform/test_pauses.py
+++ b/tests/platform/test_pauses.py
@@ -6,37 +6,26 @@
 
 import asyncio
 import json
-import time
 
 import pytest
 
 from tests.platform import conftest
 from tests.platform import standin
 
-PAUSE_S = 60.0
 
+async def call(world, path, **more):
+    async with world.call(path, **more) as response:
+        return response.status, await response.read()
 
-@pytest.fixture
-def suspend(monkeypatch):
-    """Return a function that suspends the machine for a minute."""
-    read = time.clock_gettime
-    passed_s = [0.0]
-
-    def read_with_suspend(clock):
-        counts = clock == time.CLOCK_BOOTTIME
-        return read(clock) + (passed_s[0] if counts else 0.0)
-
-    monkeypatch.setattr(time, 'clock_gettime', read_with_suspend)
-
-    def suspend_machine():
-        passed_s[0] += PAUSE_S
 
-    return suspend_machine
+def make_late_failure(gate):
+    """Return a handler that fails once the event ``gate`` is set."""
 
+    async def answer(engine, request, body):
+        await gate.wait()
+        return await standin.answer_error(engine, request, body)
 
-async def call(world, path, **more):
-    async with world.call(path, **more) as response:
-        return response.status, await response.read()
+    return answer
 
 
 def revoke_key(world):
@@ -54,12 +43,7 @@
     world, path
 ):
     gate = asyncio.Event()
-
-    async def fail_late(engine, request, body):
-        await gate.wait()
-        return await standin.answer_error(engine, request, body)
-
-    await world.start([fail_late] * 3)
+    await world.start([make_late_failure(gate)] * 3)
     calling = asyncio.ensure_future(call(world, path))
     await conftest.wait_for(lambda: world.count_arrivals() == 1)
     await revoke_key(world)
@@ -123,12 +107,7 @@
     world, suspend
 ):
     gate = asyncio.Event()
-
-    async def fail_late(engine, request, body):
-        await gate.wait()
-        return await standin.answer_error(engine, request, body)
-
-    await world.start([fail_late] * 3)
+    await world.start([make_late_failure(gate)] * 3)
     calling = asyncio.ensure_future(call(world, '/again/x'))
     await conftest.wait_for(lambda: world.count_arrivals() == 1)
     world.store.fault = 'busy'
--- a/tests/platform/test_second_copies.py
+++ b/tests/platform/test_second_copies.py
@@ -8,19 +8,10 @@
 
 import pytest
 
-from tests.platform import standin
+from tests.platform import wire
 from tests import scripted
 
 
-def make_response(request_id, body):
-    head = (
-        b'HTTP/1.1 200 OK\r\nArbutuschute-Attempt-Id: %s\r\n'
-        b'Arbutuschute-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n'
-    )
-    seal = standin.ORIGIN_PROOF.encode()
-    return head % (request_id, seal, len(body)) + body
-
-
 async def send(world, request_id, path):
     headers = {'Arbutuschute-Attempt-Id': request_id}
     async with world.call(path, headers=headers) as response:
@@ -37,7 +28,7 @@
 
     def answer(number, request_id):
         body = b'id: 1\ndata: for %s\n\n' % request_id
-        sent.append(make_response(request_id, body))
+        sent.append(wire.make_response(request_id, body=body))
         # A copy of the last answer follows each, and comes late as well.
         return sent[-1] + (extra or sent[-1]), scripted.KEEP
 
@@ -59,9 +50,8 @@
     world, serve
 ):
     def answer(number, request_id):
-        head, body = make_response(request_id, b'of %s' % request_id).split(
-            b'\r\n\r\n'
-        )
+        whole = wire.make_response(request_id, body=b'of %s' % request_id)
+        head, body = whole.split(b'\r\n\r\n')
         lines = [x for x in head.split(b'\r\n') if b'Length' not in x]
         return b'\r\n'.join(lines) + b'\r\n\r\n' + body, scripted.LATE_CLOSE
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 import types
 
 import msgspec
@@ -18,31 +17,9 @@
 from arbutuschute.ledgers import leases
 from arbutuschute import orders
 from arbutuschute.standin import cluster
+from tests import conftest
 from tests import deployment
 
-PAUSE_S = 60.0
-
-
-@pytest.fixture
-def suspend(monkeypatch):
-    """Return a function that suspends the machine for a minute.
-
-    The clock that timers run on doesn't count that time.
-    """
-    read = time.clock_gettime
-    passed_s = [0.0]
-
-    def read_with_suspend(clock):
-        counts = clock == time.CLOCK_BOOTTIME
-        return read(clock) + (passed_s[0] if counts else 0.0)
-
-    monkeypatch.setattr(time, 'clock_gettime', read_with_suspend)
-
-    def suspend_machine():
-        passed_s[0] += PAUSE_S
-
-    return suspend_machine
-
 
 @pytest.fixture
 async def environment():
@@ -65,7 +42,9 @@
 async def test_lease_of_the_configuration_ends_in_a_suspend(
     environment, suspend
 ):
-    environment.confirmed_until = environment.timer.now() + PAUSE_S / 2
+    environment.confirmed_until = (
+        environment.timer.now() + conftest.PAUSE_S / 2
+    )
     assert agreement.is_confirmed(environment)
     suspend()
     assert not agreement.is_confirmed(environment)
@@ -73,11 +52,11 @@
 
 # An engine gets orders from two instances.
 async def test_lease_of_orders_ends_in_a_suspend(environment, suspend):
-    known = leases.Leases(PAUSE_S)
+    known = leases.Leases(conftest.PAUSE_S)
     control = orders.OrderControl(environment, known)
     claim = leases.Claim(orders.LEASE_NAME, control._holder)
     known.apply_entry(msgspec.json.encode(claim), 7, 0.0)
-    control._valid_until = environment.timer.now() + PAUSE_S / 2
+    control._valid_until = environment.timer.now() + conftest.PAUSE_S / 2
     assert control.find_fence() == 7
     suspend()
     assert control.find_fence() is None
@@ -86,8 +65,8 @@
 # A caller's request runs although its deadline has passed.
 async def test_deadline_passes_in_a_suspend(environment, suspend):
     work = types.SimpleNamespace(
-        deadline_at=environment.timer.now() + PAUSE_S / 2,
-        deadline_ms=PAUSE_S / 2 * 1000,
+        deadline_at=environment.timer.now() + conftest.PAUSE_S / 2,
+        deadline_ms=conftest.PAUSE_S / 2 * 1000,
         ran=errors.Ran.NO,
     )
     suspend()
