--- a/review/support/world.py
+++ b/review/support/world.py
@@ -1,6 +1,7 @@
 """The project's own processes, their settings, and clients that call them."""
 
 import asyncio
+import contextlib
 import functools
 import os
 import pathlib
@@ -12,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+import typing
 
 import aiohttp
 
@@ -21,10 +23,12 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # As in the deploy file's variables; the bench puts the packages on the path.
 PACKAGES = ROOT / 'target' / 'deps'
-CALLERS_PORT, READINESS_PORT, FIRST_PORT = 8227, 8220, 7340
+# The metrics port is the deploy file's, on an address that nobody else has.
 HOST = 'ficu95.example'
 START_S = 30.0
 CLIENT_S = 3.0
+# A case that takes longer could not run.
+LIMIT_S = 110.0
 
 REGIONS = {'mtl-a': 'qc-sud', 'sherbrooke-a': 'qc-sud', 'rimouski-a': 'qc-est'}
 # The site's machines.
@@ -46,9 +50,9 @@
 zones.mtl-a=qc-sud
 zones.rimouski-a=qc-est
 zones.sherbrooke-a=qc-sud
-listen.frontendAddress={ip}:8227
-listen.readiness={ip}:8220
-portRange=7340,7355
+listen.frontendAddress={ip}:{callers}
+listen.readiness={ip}:{readiness}
+portRange={first},{first}
 seeds=
 bootstrap=true
 lossCounts=false
@@ -145,6 +149,15 @@
     }
 
 
+class _Process(typing.NamedTuple):
+    """A process of the system, its address and two of its ports."""
+
+    process: asyncio.subprocess.Process
+    ip: str
+    callers: int
+    readiness: int
+
+
 class World:
     """The platform's stand-ins, instances of the system, and the record."""
 
@@ -176,14 +189,12 @@
         self._record.write(line.rstrip() + '\n')
         self._record.flush()
 
-    def _make_address(self, port=None):
+    def _make_address(self):
+        """Return an address that nobody else has, and a free port there."""
         self._hosts += 1
         host = f'{self._net}.{self._hosts}'
-        if port is not None:
-            return host, port
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            return probe.getsockname()
+        (port,) = _find_ports(host, 1)
+        return host, port
 
     async def start_platform(self, service, engines):
         """Start the engines of one service."""
@@ -208,8 +219,8 @@
         """Start the machines' processes, and wait until they are ready."""
         await asyncio.gather(*(self._start_instance(node) for node in nodes))
         async with asyncio.timeout(START_S):
-            for _, ip in self._processes.values():
-                while not await _is_ready(ip):
+            for found in self._processes.values():
+                while not await _is_ready(found):
                     await asyncio.sleep(0.05)
         self.note('ready')
 
@@ -228,13 +239,17 @@
 
     async def _start_instance(self, node):
         """Start a process with the deploy file's command."""
-        ip, _ = self._make_address(CALLERS_PORT)
+        ip, _ = self._make_address()
+        callers, readiness, first = _find_ports(ip, 3)
         zone = node.removeprefix('edge-').rpartition('-')[0]
         path = pathlib.Path(self._folder) / f'{node}.conf'
         path.write_text(
             SETTINGS.format(
                 node=node,
                 ip=ip,
+                callers=callers,
+                readiness=readiness,
+                first=first,
                 zone=zone,
                 region=REGIONS[zone],
                 store=await self._open_store(node),
@@ -259,13 +274,12 @@
             stderr=log,
         )
         log.close()
-        self._processes[node] = process, ip
+        self._processes[node] = _Process(process, ip, callers, readiness)
         self.note('started', node)
 
     def signal(self, node, number):
         """Send a signal to an instance."""
-        process, _ = self._processes[node]
-        process.send_signal(number)
+        self._processes[node].process.send_signal(number)
         self.note('signal', node, number=number)
 
     async def call(self, node, path, key=None, method='POST', body=b''):
@@ -279,13 +293,16 @@
         }
         if key is not None:
             headers['Arbutuschute-Key'] = key
-        _, ip = self._processes[node]
+        found = self._processes[node]
         sent_at = time.monotonic()
         self.note(
             'sent', request_id, node=node, method=method, path=path, key=key
         )
         status = await _exchange(
-            method, f'http://{ip}:{CALLERS_PORT}{path}', headers, body
+            method,
+            f'http://{found.ip}:{found.callers}{path}',
+            headers,
+            body,
         )
         facts = {
             'id': request_id,
@@ -307,8 +324,8 @@
         await asyncio.sleep(1.0)
         entry = self.store.find('keyed.readers', f'reader/{zone}')
         ip, _, _ = entry['address'].rpartition(':')
-        (found,) = (n for n, (_, at) in self._processes.items() if at == ip)
-        return found
+        (node,) = (n for n, p in self._processes.items() if p.ip == ip)
+        return node
 
     def list_runs(self, request_id):
         """Return the runs of a request."""
@@ -316,11 +333,11 @@
 
     async def stop(self):
         """End every process that was started, and the stand-ins."""
-        for process, _ in self._processes.values():
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-                await process.wait()
+        for found in self._processes.values():
+            if found.process.returncode is None:
+                found.process.send_signal(signal.SIGCONT)
+                found.process.kill()
+                await found.process.wait()
         for task in self._tasks:
             task.cancel()
         for found in self.links.values():
@@ -334,11 +351,21 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
-async def _is_ready(ip):
+def _find_ports(host, count):
+    """Return free TCP ports of a loopback address."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+async def _is_ready(found):
+    url = f'http://{found.ip}:{found.readiness}/readyz'
     try:
         async with (
             aiohttp.ClientSession() as session,
-            session.get(f'http://{ip}:{READINESS_PORT}/readyz') as response,
+            session.get(url) as response,
         ):
             return response.status == 200
     except aiohttp.ClientError:
@@ -380,9 +407,14 @@
 
 async def _run(case, folder):
     world = World(folder)
+    # A script that is told to stop ends its processes as well.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     try:
-        broken = await case(world)
-    except Exception as fault:
+        async with asyncio.timeout(LIMIT_S):
+            broken = await case(world)
+    except (Exception, asyncio.CancelledError) as fault:
         world.note('could not run', repr(fault))
         print(f'could not run: {fault!r}')
         return 2
