Send each request once, whatever its method (TWICE)

Cause: aiohttp sends GET, HEAD, OPTIONS, TRACE, PUT and DELETE again after ClientOSError or ServerDisconnectedError, on new connections too. The route's kind, its attempts and the retry budget are not asked.

Evidence: both runs of each request are at one engine, and the product's own repeats go to another.

Change: every session is made by connections.make_session, whose middleware turns these two errors into ResponseLost, which the library does not repeat. Redirects, the library's other way to send a request again, are not followed by any call. The store's client repeats a lost read itself and counts it, so that a closed connection is still no outage.

--- a/arbutuschute/cli/actions.py
+++ b/arbutuschute/cli/actions.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import aiohttp
 import click
 from returns import result
 
 from arbutuschute.cli import output
+from arbutuschute import connections
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import profiles
 from arbutuschute import documents
@@ -80,7 +80,7 @@
     """Run ``callback`` with an operator's client; return its value or exit."""
 
     async def run():
-        async with aiohttp.ClientSession() as session:
+        async with connections.make_session() as session:
             return await callback(
                 operator_client.OperatorClient(session, platform)
             )
--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -6,6 +6,10 @@
 
 A response with a length is whole once it has arrived, whatever bytes follow.
 These belong to no request: they are dropped, with their connection.
+
+aiohttp sends a request with GET, HEAD, OPTIONS, TRACE, PUT or DELETE again
+after a reset, on new connections too. What may be repeated follows from the
+work and not from the method, so sessions are made by ``make_session``.
 """
 
 import asyncio
@@ -90,6 +94,32 @@
         return int(text) if text.isascii() and text.isdigit() else None
 
 
+class ResponseLost(aiohttp.ClientConnectionError):
+    """The connection ended before a response; the request may have run."""
+
+
+async def _send_once(request, handler):
+    """Client middleware: end a request whose response was lost.
+
+    aiohttp repeats it after the two errors that are replaced here.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise  # Nothing was sent, and nothing is repeated.
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ResponseLost(repr(error)) from error
+
+
+def make_session(**options):
+    """Return a ``ClientSession`` that sends each request once.
+
+    ``options`` are those of ``ClientSession``. Requests still follow
+    redirects, unless they are made with ``allow_redirects=False``.
+    """
+    return aiohttp.ClientSession(middlewares=(_send_once,), **options)
+
+
 class Connector(aiohttp.TCPConnector):
     """Tracks how each connection ends, from its creation on."""
 
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -7,7 +7,6 @@
 import signal
 import time
 
-import aiohttp
 from aiohttp import web
 import statsd
 
@@ -118,14 +117,14 @@
 
 def _build_links(environment):
     settings = environment.settings
-    environment.http = aiohttp.ClientSession(
+    environment.http = connections.make_session(
         connector=connections.Connector(
             limit=UNLIMITED_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
         )
     )
-    # aiohttp may retry a request on a reused connection, so requests that
-    # may run only once always get a new connection.
-    environment.http_once = aiohttp.ClientSession(
+    # A reused connection may have been closed meanwhile: a request that may
+    # run only once would be lost with it.
+    environment.http_once = connections.make_session(
         connector=connections.Connector(
             limit=UNLIMITED_CONNECTIONS, force_close=True
         )
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute import eras
 from arbutuschute.ledgers import freshness
 from arbutuschute import listening
@@ -367,7 +368,7 @@
 
 
 def _make_store_session():
-    return aiohttp.ClientSession(
+    return connections.make_session(
         cookie_jar=aiohttp.DummyCookieJar(),
         connector=aiohttp.TCPConnector(limit=0),
     )
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -69,6 +69,7 @@
                 data=body,
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
             )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         raise errors.EngineUnreachable(server.name) from None
@@ -285,5 +286,6 @@
         async with session.post(
             f'{server.instance.address}/cancel/{work_id}',
             timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
+            allow_redirects=False,
         ):
             return
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -90,7 +90,11 @@
     async def _call(self, kind, method, url, **options):
         try:
             async with self._session.request(
-                method, url, headers={'X-Instance': self._reader}, **options
+                method,
+                url,
+                headers={'X-Instance': self._reader},
+                allow_redirects=False,
+                **options,
             ) as response:
                 body = await response.read()
                 if response.status != 200:
--- a/arbutuschute/links/rating.py
+++ b/arbutuschute/links/rating.py
@@ -61,6 +61,7 @@
             f'{self._base}/ratings',
             data=msgspec.json.encode(document),
             timeout=aiohttp.ClientTimeout(total=RATING_TIMEOUT_S),
+            allow_redirects=False,
         ):
             return
 
@@ -68,6 +69,7 @@
         async with self._session.get(
             f'{self._base}/ratings/{request_id}',
             timeout=aiohttp.ClientTimeout(total=RATING_TIMEOUT_S),
+            allow_redirects=False,
         ) as response:
             if response.status != 200:
                 return None
--- a/arbutuschute/machines/fleet.py
+++ b/arbutuschute/machines/fleet.py
@@ -225,6 +225,7 @@
         async with session.get(
             f'{server.instance.address}/load',
             timeout=aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S),
+            allow_redirects=False,
         ) as response:
             body = await bodies.read_whole(
                 response.content.readany, server.name, MAX_LOAD_BYTES
--- a/arbutuschute/machines/instances.py
+++ b/arbutuschute/machines/instances.py
@@ -65,6 +65,7 @@
             f'{url}/instances',
             headers={'X-Instance': reader},
             timeout=aiohttp.ClientTimeout(total=LIST_TIMEOUT_S),
+            allow_redirects=False,
         ) as response:
             body = await response.read()
             if response.status != 200:
--- a/arbutuschute/operator_client.py
+++ b/arbutuschute/operator_client.py
@@ -117,6 +117,7 @@
                 f'{router.operators_address}/{path}',
                 params=query,
                 timeout=aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 return decoding.decode_json(await response.read())
         except (
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -211,6 +211,7 @@
                 url,
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 raw = await response.read()
                 return raw if response.status == 200 else None
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -27,7 +27,7 @@
     A late or second response then can't be taken for that of another
     request, and a connection that is silent or was dropped is never reused.
     """
-    return aiohttp.ClientSession(
+    return connections.make_session(
         connector=connections.Connector(limit=0, force_close=True),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute import metrics as metrics_module
@@ -158,7 +159,6 @@
 
     async def _call(self, method, path, query, body=None, wait_s=0.0):
         topic = query['topic']
-        self._metrics.count(f'store.calls.{topic}', 1)
         answer = await self._send(method, path, query, body, wait_s)
         if isinstance(answer, result.Failure):
             self._metrics.count(f'store.failures.{topic}', 1)
@@ -173,14 +173,17 @@
 
     async def _send(self, method, path, query, body, wait_s):
         try:
-            async with self._session.request(
-                method,
-                self._base + path,
-                params=query,
-                data=body,
-                timeout=_make_timeout(method, wait_s),
-            ) as response:
-                raw = await response.read()
+            try:
+                response, raw = await self._exchange(
+                    method, path, query, body, wait_s
+                )
+            except connections.ResponseLost:
+                if method != 'GET':
+                    raise
+                # A read that was lost with its connection can be repeated.
+                response, raw = await self._exchange(
+                    method, path, query, body, wait_s
+                )
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return result.Failure(errors.StoreDown(f'{path} {error!r}'))
         era = _decode_era(response.headers.get(ERA_HEADER))
@@ -192,6 +195,19 @@
             return result.Failure(errors.StoreGap(query['topic']))
         return result.Failure(errors.StoreDown(f'{path} {response.status}'))
 
+    async def _exchange(self, method, path, query, body, wait_s):
+        """Return the response to one call, and its body."""
+        self._metrics.count(f'store.calls.{query["topic"]}', 1)
+        async with self._session.request(
+            method,
+            self._base + path,
+            params=query,
+            data=body,
+            timeout=_make_timeout(method, wait_s),
+            allow_redirects=False,
+        ) as response:
+            return response, await response.read()
+
 
 def _decode_era(text):
     """Return the era in a header; a store that names none has one only."""
--- a/arbutuschute/standin/demo.py
+++ b/arbutuschute/standin/demo.py
@@ -3,10 +3,10 @@
 import asyncio
 import pathlib
 
-import aiohttp
 import click
 
 from arbutuschute.cli import output
+from arbutuschute import connections
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import profiles
 from arbutuschute import daemon
@@ -89,7 +89,7 @@
     cluster = cluster_module.Cluster()
     settings = await _start_stand_ins(cluster)
     router = daemon.Router(settings, asyncio.get_running_loop())
-    async with aiohttp.ClientSession() as session:
+    async with connections.make_session() as session:
         client = operator_client.OperatorClient(
             session, cluster.platform_address
         )
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -259,7 +259,10 @@
     )
     try:
         async with session.get(
-            f'http://{address}{path}', params=query, timeout=timeout
+            f'http://{address}{path}',
+            params=query,
+            timeout=timeout,
+            allow_redirects=False,
         ) as response:
             raw = await response.read()
             if response.status == 200:
