Confirm no later time than a response with records was made at (CONFIG)

Cause: a read that took as long as its wait was taken to confirm the end of the wait. That holds for a response without records. One with records is made earlier and may only have arrived late: the lease ran up to 1.76 s too long.

Evidence: the network-free follower with one change before the revocation confirmed 2.11 s for a response made at 0.51 s. Three of the four new tests failed before, for the lease, for any delays, and for what zone peers are told; the fourth shows that the own interface's follower has no such fault.

Change: only a response without records confirms the end of the wait. Whatever the delivery takes, no confirmation is then later than the response.

--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -269,11 +269,12 @@
             self._drop_position('position of another era', era=page.era)
             return result.Failure(errors.StoreRestored(page.era))
         if page.next >= page.end:
-            # The store responds early only with new records.
+            self.confirmed_at = requested_at
+            # With records the store responds before the wait is over, and
+            # the response may arrive long after that.
             waited_s = self._timer.now() - requested_at
-            self.confirmed_at = requested_at + (
-                wait_s if waited_s >= wait_s else 0.0
-            )
+            if not page.records and waited_s >= wait_s:
+                self.confirmed_at += wait_s
         self._share_records(
             page.start, page.records, self.confirmed_at, page.era
         )
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -11,10 +11,12 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 from returns import result
 
 from arbutuschute import errors
 from arbutuschute.ledgers import freshness
+from arbutuschute.links import log
 from arbutuschute.machines import servers
 from arbutuschute.platform import configuration
 from arbutuschute.platform import directory
@@ -126,15 +128,22 @@
         asyncio.run(follower.run())
 
 
-def follow(steps, revoked_at):
-    """Follow the operator's records; return (newest version, lease)."""
+def follow(steps, revoked_at, changed_at=None):
+    """Follow the operator's records; return (newest version, lease).
+
+    Version 2 revokes the key; another change may come before it.
+    """
+    records = [(0.0, make_table(0, ['k']))]
+    if changed_at is not None:
+        records.append((changed_at, make_table(1, ['k'])))
+    records.append((revoked_at, make_table(2, [])))
     timer = Timer()
     lease = freshness.Freshness(timer.now, LEASE_S)
     tables = []
     scripted = ScriptedStore(
         timer,
         [(0.0, 0.0, False), *steps],
-        [(0.0, make_table(1, ['k'])), (revoked_at, make_table(2, []))],
+        records,
     )
     follower = followers.OperatorFollower(
         scripted, timer, Log(), lease, tables.append, lambda _: None
@@ -155,10 +164,84 @@
     for moment in range(60):
         revoked_at = 0.01 + 0.25 * moment
         version, lease = follow(steps, revoked_at)
-        if version == 1:
+        if version < 2:
             assert lease.confirmed_at + LEASE_S <= revoked_at + REVOKE_S
 
 
+# The response to a long poll has a change and is read late, after a freeze:
+# it confirms nothing that came after the change.
+@pytest.mark.parametrize('frozen_s', [0.5, 1.0, 2.5, 3.4])
+def test_late_response_with_a_change_confirms_no_later_time(frozen_s):
+    steps = [(0.0, 0.0, False), (frozen_s, 0.0, False)]
+    version, lease = follow(steps, revoked_at=0.6, changed_at=0.5)
+    assert version == 1
+    assert lease.confirmed_at + LEASE_S <= 0.6 + REVOKE_S
+
+
+# The same with any delays, the change at any moment before the key is revoked.
+@settings(max_examples=40, deadline=None)
+@given(
+    steps=STEPS,
+    frozen_s=strategies.floats(0.0, 3.5),
+    ahead_s=strategies.floats(0.0, 2.0),
+)
+def test_revoked_key_is_not_accepted_after_a_change_that_was_read_late(
+    steps, frozen_s, ahead_s
+):
+    steps = [*steps[:8], (frozen_s, 0.0, False)]
+    for moment in range(60):
+        revoked_at = 0.01 + 0.25 * moment
+        changed_at = max(0.0, revoked_at - ahead_s)
+        version, lease = follow(steps, revoked_at, changed_at)
+        if version < 2:
+            assert lease.confirmed_at + LEASE_S <= revoked_at + REVOKE_S
+
+
+# A zone reader passes its confirmation on: its peers would go on as well.
+def test_late_response_with_a_change_confirms_nothing_to_zone_peers():
+    timer = Timer()
+    shared = []
+
+    class Sharing(HoldingZoneReader):
+        async def read(self, topic, start, read_limits, confirmed_at, era):
+            return None
+
+        def record_read(self, topic, start, records, confirmed_at, era):
+            shared.append((confirmed_at, len(records)))
+
+    script = ScriptedStore(
+        timer,
+        [(0.0, 0.0, False), (2.5, 0.0, False)],
+        [(0.0, make_table(1, ['k'])), (0.2, make_table(2, ['k']))],
+    )
+    follower = followers.OperatorFollower(
+        script, timer, Log(), freshness.Freshness(timer.now, LEASE_S),
+        lambda table: None, lambda order: None, Sharing(),
+    )  # fmt: skip
+    run_to_end(follower)
+    assert [count for _, count in shared] == [0, 1]
+    assert shared[-1][0] <= 0.2
+
+
+# The same on the own interface: a read confirms the moment of its request.
+def test_late_response_of_the_log_confirms_no_later_time():
+    timer = Timer()
+
+    class Client:
+        async def read(self, stream, start, wait_s=0.0):
+            timer.time += 2.5
+            page = log.Page(
+                records=(log.Record(offset=start, time=0.0, value='{}'),),
+                first=0, head=start + 1,
+            )  # fmt: skip
+            return result.Success(page)
+
+    follower = log.LogFollower(Client(), 's', timer)
+    for begun_at in (0.0, 2.5):
+        asyncio.run(follower.read_once(1.0))
+        assert follower.confirmed_at == begun_at
+
+
 @settings(max_examples=200)
 @given(steps=STEPS, gone_at=strategies.floats(0.5, 10.0))
 def test_servers_match_the_log_once_it_is_available(steps, gone_at):
