--- a/arbutuschute/contracts/routes.py
+++ b/arbutuschute/contracts/routes.py
@@ -85,17 +85,31 @@
 
 
 class Table:
-    """One version of the configuration, indexed for lookups."""
+    """One version of the configuration, indexed for lookups.
 
-    __slots__ = ('_by_host', '_by_key', 'limits', 'services', 'version')
+    Without ``organisations`` (None) callers need no API key. If there are
+    any, or an empty list of them, they need one on routes that aren't public,
+    also while nobody has a key.
+    """
+
+    __slots__ = (
+        '_by_host',
+        '_by_key',
+        'has_organisations',
+        'limits',
+        'services',
+        'version',
+    )
 
     def __init__(self, version, routes, services, organisations, limits):
         self.version = version
         self.limits = limits
         self.services = {service.name: service for service in services}
+        # Whether callers need an API key.
+        self.has_organisations = organisations is not None
         self._by_key = {
             key: organisation
-            for organisation in organisations
+            for organisation in organisations or ()
             for key in organisation.keys
         }
         self._by_host = {}
@@ -105,11 +119,6 @@
         for route in longest_first:
             self._by_host.setdefault(route.host.lower(), []).append(route)
 
-    @property
-    def has_organisations(self):
-        """Whether callers need an API key."""
-        return bool(self._by_key)
-
     def find_route(self, host, path):
         """Return the route with the longest matching path prefix.
 
@@ -127,7 +136,7 @@
         """
         if route.public or not self.has_organisations:
             return None
-        organisation = self._by_key.get(key or '')
+        organisation = self._by_key.get(key) if key else None
         if organisation is None:
             raise errors.UnknownKey()
         return organisation
--- a/arbutuschute/platform/configuration.py
+++ b/arbutuschute/platform/configuration.py
@@ -81,7 +81,8 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # Without it nobody needs an API key; an empty list lets nobody in.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Rollout(msgspec.Struct, rename='camel'):
@@ -101,14 +102,20 @@
         found.version,
         [_make_route(route) for route in found.routes],
         [_make_service(service) for service in found.services],
-        [
-            routes.Organisation(t.name, tuple(t.api_keys), t.priority)
-            for t in found.tenants
-        ],
+        _make_organisations(found.tenants),
         _make_limits(found.limits),
     )
 
 
+def _make_organisations(tenants):
+    if tenants is msgspec.UNSET:
+        return None
+    return [
+        routes.Organisation(t.name, tuple(t.api_keys), t.priority)
+        for t in tenants
+    ]
+
+
 def _make_limits(limits):
     return routes.Limits(
         limits.max_header_bytes,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from arbutuschute import instance
 from arbutuschute.platform import followers
 from arbutuschute.policy import rollout_records
@@ -45,6 +47,48 @@
     assert world.count_arrivals() == arrived
 
 
+# Once no organisation had a key left, every request ran: with the keys that
+# were taken away, with unknown ones and with none.
+@pytest.mark.parametrize('tenants', [[], [{'name': 'dispatch'}]])
+async def test_nobody_is_served_once_the_last_key_is_revoked(world, tenants):
+    await world.start()
+    changed = conftest.make_configuration(2)
+    world.store.put('keyed.op', 'config', {**changed, 'tenants': tenants})
+    await wait_for_status(world, 401)
+    arrived = world.count_arrivals()
+    for key in (standin.KEY, 'unknown', '', None):
+        headers = {'Arbutuschute-Key': key}
+        for path in ('/once/x', '/again/x', '/stream/x'):
+            assert await send(world, path, headers=headers) == 401
+    assert world.count_arrivals() == arrived
+    assert (
+        await send(world, '/open/x', headers={'Arbutuschute-Key': None}) == 200
+    )
+
+
+async def test_configuration_with_malformed_tenants_changes_nothing(world):
+    await world.start()
+    changed = conftest.make_configuration(2)
+    world.store.put('keyed.op', 'config', {**changed, 'tenants': None})
+    await conftest.wait_for(lambda: world.instance.operator.position == 2)
+    assert world.instance.environment.table.version == 1
+    for key, status in ((standin.KEY, 200), ('unknown', 401), (None, 401)):
+        headers = {'Arbutuschute-Key': key}
+        assert await send(world, headers=headers) == status
+
+
+async def test_configuration_without_tenants_needs_no_key(world):
+    await world.start()
+    changed = conftest.make_configuration(2)
+    del changed['tenants']
+    world.store.put('keyed.op', 'config', changed)
+    await conftest.wait_for(
+        lambda: world.instance.environment.table.version == 2
+    )
+    for key in ('unknown', None):
+        assert await send(world, headers={'Arbutuschute-Key': key}) == 200
+
+
 async def test_older_configuration_does_not_return(world):
     await world.start()
     route = conftest.make_route('new', 'idempotent')
