--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+import yarl
 
 HEAD_END = b'\r\n\r\n'
 # Another response follows these; 101 is final.
@@ -111,13 +112,41 @@
         raise ResponseLost(repr(error)) from error
 
 
-def make_session(**options):
+def make_session(connector=None, **options):
     """Return a ``ClientSession`` that sends each request once.
 
     ``options`` are those of ``ClientSession``. Requests still follow
     redirects, unless they are made with ``allow_redirects=False``.
     """
-    return aiohttp.ClientSession(middlewares=(_send_once,), **options)
+    return aiohttp.ClientSession(
+        connector=connector or Connector(),
+        middlewares=(_send_once,),
+        **options,
+    )
+
+
+def close_idle(session, url=None):
+    """Close the idle connections of a session, to a URL's host or to all.
+
+    Connections may fall silent without a reset, all at the same time, and the
+    pool hands out the oldest one first. When one is found to be silent, the
+    others would cost a time limit each.
+    """
+    session.connector.close_idle(url and yarl.URL(url))
+
+
+async def repeat_if_lost(session, send, repeat):
+    """Return what ``send()`` returns, else what ``repeat()`` returns.
+
+    The repeat is sent on a new connection if the first one was lost or fell
+    silent, and tells these from a host that is down. Only for requests that
+    change nothing.
+    """
+    try:
+        return await send()
+    except (ResponseLost, aiohttp.SocketTimeoutError):
+        close_idle(session)
+    return await repeat()
 
 
 class Connector(aiohttp.TCPConnector):
@@ -127,6 +156,13 @@
         super().__init__(**options)
         self._factory = functools.partial(_Handler, loop=self._loop)
 
+    def close_idle(self, url=None):
+        """Close the connections that are not in use, to ``url`` or to all."""
+        for key in list(self._conns):
+            if url is None or (key.host, key.port) == (url.host, url.port):
+                for protocol, _ in self._conns.pop(key):
+                    protocol.close()
+
     async def _create_connection(self, req, traces, timeout):
         protocol = await super()._create_connection(req, traces, timeout)
         closed = protocol.closed
--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -370,7 +370,7 @@
 def _make_store_session():
     return connections.make_session(
         cookie_jar=aiohttp.DummyCookieJar(),
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=connections.Connector(limit=0),
     )
 
 
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -73,7 +73,9 @@
             )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         raise errors.EngineUnreachable(server.name) from None
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        if isinstance(error, asyncio.TimeoutError):
+            connections.close_idle(session, server.instance.address)
         raise errors.AnswerBroken(server.name).mark_ran(
             errors.Ran.UNKNOWN
         ) from None
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -11,6 +11,7 @@
 import reactivex
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute import decoding
 from arbutuschute import errors
 
@@ -19,6 +20,11 @@
 READS_PER_LEASE = 8
 READ_LIMIT_RECORDS = 1000
 PAUSE_AFTER_FAILURE_S = 0.2
+# For the repeat of a read whose connection fell silent. A log that is up
+# responds within this time over a new one; longer silence is an outage.
+REPEAT_TIMEOUT_S = 0.3
+# A large page may take this long on a busy link.
+TRANSFER_TIMEOUT_S = 10.0
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -65,41 +71,71 @@
         A failure is ambiguous: the append may have taken effect, or may
         still do so later.
         """
-        return await self._call(
-            _Appended,
-            'POST',
-            f'{self._base}/log/{stream}',
-            data=value,
-            timeout=aiohttp.ClientTimeout(total=self._timeout_s),
-        )
+        url = f'{self._base}/log/{stream}'
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+
+        async def send():
+            try:
+                return await self._exchange(
+                    'POST', url, data=value, timeout=timeout
+                )
+            except (connections.ResponseLost, asyncio.TimeoutError):
+                connections.close_idle(self._session)
+                raise
+
+        return await self._call(_Appended, url, send)
 
     async def read(self, stream, start, wait_s=0.0):
-        """Return ``Result`` with a ``Page`` from offset ``start`` on."""
+        """Return ``Result`` with a ``Page`` from offset ``start`` on.
+
+        If the connection was lost or fell silent the read is repeated
+        without its wait.
+        """
+        url = f'{self._base}/log/{stream}'
+
+        def send(wait_s, silence_s):
+            return self._exchange(
+                'GET',
+                url,
+                params={
+                    'from': str(start),
+                    'limit': str(READ_LIMIT_RECORDS),
+                    'wait_ms': str(int(wait_s * 1000)),
+                },
+                timeout=aiohttp.ClientTimeout(
+                    total=wait_s + TRANSFER_TIMEOUT_S,
+                    sock_connect=silence_s,
+                    sock_read=wait_s + silence_s,
+                ),
+            )
+
         return await self._call(
             Page,
-            'GET',
-            f'{self._base}/log/{stream}',
-            params={
-                'from': str(start),
-                'limit': str(READ_LIMIT_RECORDS),
-                'wait_ms': str(int(wait_s * 1000)),
-            },
-            timeout=aiohttp.ClientTimeout(total=self._timeout_s + wait_s),
+            url,
+            lambda: connections.repeat_if_lost(
+                self._session,
+                lambda: send(wait_s, self._timeout_s),
+                lambda: send(0.0, min(REPEAT_TIMEOUT_S, self._timeout_s)),
+            ),
         )
 
-    async def _call(self, kind, method, url, **options):
+    async def _exchange(self, method, url, **options):
+        """Return the status and the body of a response."""
+        async with self._session.request(
+            method,
+            url,
+            headers={'X-Instance': self._reader},
+            allow_redirects=False,
+            **options,
+        ) as response:
+            return response.status, await response.read()
+
+    async def _call(self, kind, url, send):
         try:
-            async with self._session.request(
-                method,
-                url,
-                headers={'X-Instance': self._reader},
-                allow_redirects=False,
-                **options,
-            ) as response:
-                body = await response.read()
-                if response.status != 200:
-                    return result.Failure(errors.StoreDown(url))
-                found = decoding.decode_json(body, kind)
+            status, body = await send()
+            if status != 200:
+                return result.Failure(errors.StoreDown(url))
+            found = decoding.decode_json(body, kind)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/arbutuschute/machines/instances.py
+++ b/arbutuschute/machines/instances.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute import decoding
 from arbutuschute import errors
 
@@ -77,5 +78,7 @@
         asyncio.TimeoutError,
         msgspec.DecodeError,
         OSError,
-    ):
+    ) as error:
+        if isinstance(error, asyncio.TimeoutError):
+            connections.close_idle(session)
         return result.Failure(errors.StoreDown('instance list'))
--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -156,14 +156,18 @@
         self._index()
 
     def remove(self, name):
-        """Remove a server, or defer its removal after an outage."""
+        """Remove a server, or defer its removal after an outage.
+
+        Return whether it is removed now.
+        """
         self._held_back.pop(name, None)
         if name not in self.servers:
-            return
+            return True
         if self._now() < self._defer_until:
             self._deferred.setdefault(name, self._defer_until)
-            return
+            return False
         self._drop(name)
+        return True
 
     def apply_deferred(self):
         """Apply what was deferred or held back and is due."""
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -215,9 +215,11 @@
         self._directory.apply(entry)
 
     def _remove(self, name):
-        if name in self._directory.servers:
-            self._log.info('server gone', server=name)
-        self._directory.remove(name)
+        if name not in self._directory.servers:
+            self._directory.remove(name)
+            return
+        is_deferred = not self._directory.remove(name)
+        self._log.info('server gone', server=name, deferred=is_deferred)
 
     async def run(self):
         """Follow the topic until cancelled."""
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -15,6 +15,9 @@
 
 # The store responds in about 4 ms, and in a few hundred on slow days.
 CALL_TIMEOUT_S = 1.5
+# For the repeat of a read whose connection fell silent. A store that is up
+# responds within this time over a new one; longer silence is an outage.
+REPEAT_TIMEOUT_S = 0.3
 # A large response may take longer on a busy link. Giving it up would only send
 # it once more.
 TRANSFER_TIMEOUT_S = 10.0
@@ -39,7 +42,8 @@
 
     ``current_after_s`` is set if a zone peer answered: the store had
     nothing newer at this many seconds after the request was sent (before
-    it, if negative).
+    it, if negative). With ``is_repeat`` the store was asked a second time,
+    and didn't wait for new records.
     """
 
     end: int
@@ -48,6 +52,7 @@
     records: tuple[bytes, ...]
     current_after_s: float | None = None
     era: int = NO_ERA
+    is_repeat: bool = False
 
     @property
     def next(self):
@@ -73,6 +78,7 @@
 
     body: bytes
     era: int
+    is_repeat: bool
 
 
 class _Item(msgspec.Struct):
@@ -173,29 +179,49 @@
 
     async def _send(self, method, path, query, body, wait_s):
         try:
-            try:
-                response, raw = await self._exchange(
-                    method, path, query, body, wait_s
-                )
-            except connections.ResponseLost:
-                if method != 'GET':
-                    raise
-                # A read that was lost with its connection can be repeated.
-                response, raw = await self._exchange(
-                    method, path, query, body, wait_s
+            if method == 'GET':
+                response, raw, is_repeat = await connections.repeat_if_lost(
+                    self._session,
+                    lambda: self._read(path, query, wait_s),
+                    lambda: self._repeat(path, query),
                 )
+            else:
+                response, raw = await self._append(path, query, body)
+                is_repeat = False
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return result.Failure(errors.StoreDown(f'{path} {error!r}'))
         era = _decode_era(response.headers.get(ERA_HEADER))
         if self._era is not None:
             self._era.observe(era)
         if response.status == 200:
-            return result.Success(_Response(raw, era))
+            return result.Success(_Response(raw, era, is_repeat))
         if response.status == 410:
             return result.Failure(errors.StoreGap(query['topic']))
         return result.Failure(errors.StoreDown(f'{path} {response.status}'))
 
-    async def _exchange(self, method, path, query, body, wait_s):
+    async def _read(self, path, query, wait_s):
+        timeout = _make_read_timeout(CALL_TIMEOUT_S, wait_s)
+        found = await self._exchange('GET', path, query, timeout)
+        return *found, False
+
+    async def _repeat(self, path, query):
+        """Repeat a read without its wait."""
+        self._metrics.count(f'store.repeats.{query["topic"]}', 1)
+        query = {name: v for name, v in query.items() if name != 'waitMs'}
+        timeout = _make_read_timeout(REPEAT_TIMEOUT_S)
+        found = await self._exchange('GET', path, query, timeout)
+        return *found, True
+
+    async def _append(self, path, query, body):
+        try:
+            return await self._exchange(
+                'POST', path, query, _make_append_timeout(), body
+            )
+        except (connections.ResponseLost, asyncio.TimeoutError):
+            connections.close_idle(self._session)
+            raise
+
+    async def _exchange(self, method, path, query, timeout, body=None):
         """Return the response to one call, and its body."""
         self._metrics.count(f'store.calls.{query["topic"]}', 1)
         async with self._session.request(
@@ -203,7 +229,7 @@
             self._base + path,
             params=query,
             data=body,
-            timeout=_make_timeout(method, wait_s),
+            timeout=timeout,
             allow_redirects=False,
         ) as response:
             return response, await response.read()
@@ -216,15 +242,16 @@
     return int(text[:MAX_ERA_DIGITS])
 
 
-def _make_timeout(method, wait_s):
-    """Return the limits of a call; reads are limited by silence."""
-    silence_s = wait_s + CALL_TIMEOUT_S
-    if method != 'GET':
-        return aiohttp.ClientTimeout(total=silence_s)
+def _make_append_timeout():
+    return aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+
+
+def _make_read_timeout(silence_s, wait_s=0.0):
+    """Return the limits of a read: that of silence, beyond a wait."""
     return aiohttp.ClientTimeout(
         total=wait_s + TRANSFER_TIMEOUT_S,
-        sock_connect=CALL_TIMEOUT_S,
-        sock_read=silence_s,
+        sock_connect=silence_s,
+        sock_read=wait_s + silence_s,
     )
 
 
@@ -255,7 +282,14 @@
         records.append(body[at : at + size])
         at += size
     return result.Success(
-        Page(end, first, start, tuple(records), era=response.era)
+        Page(
+            end,
+            first,
+            start,
+            tuple(records),
+            era=response.era,
+            is_repeat=response.is_repeat,
+        )
     )
 
 
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -273,7 +273,8 @@
             # With records the store responds before the wait is over, and
             # the response may arrive long after that.
             waited_s = self._timer.now() - requested_at
-            if not page.records and waited_s >= wait_s:
+            is_early = page.records or page.is_repeat
+            if not is_early and waited_s >= wait_s:
                 self.confirmed_at += wait_s
         self._share_records(
             page.start, page.records, self.confirmed_at, page.era
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute import decoding
 from arbutuschute import errors
 from arbutuschute.zones import topic_cache
@@ -274,6 +275,8 @@
         msgspec.DecodeError,
         zlib.error,
     ) as error:
+        if isinstance(error, asyncio.TimeoutError):
+            connections.close_idle(session)
         return result.Failure(errors.ReaderSilent(address, repr(error)))
     if response.status == 503:
         return result.Failure(errors.ReaderStarting(address))
--- a/tests/outer/shapes.py
+++ b/tests/outer/shapes.py
@@ -120,7 +120,12 @@
     found = {'type': describe(field.type), 'required': field.required}
     if not info.array_like:
         found['name'] = field.encode_name
-    if not field.required:
+    has_default = (
+        field.default is not msgspec.NODEFAULT
+        or field.default_factory is not msgspec.NODEFAULT
+    )
+    # A field that may be missing has none where that has a meaning of its own.
+    if has_default:
         found['default'] = _describe_default(field)
     return found
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from tests import silent
+
 ORIGIN_PROOF = 'a1.b2.c3'
 KEY = 'key-of-dispatch'
 
@@ -25,6 +27,7 @@
         self.reads = 0
         self.bytes_read = 0
         self.era = 1
+        self.silence = silent.Silence()
         self._appended = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -84,6 +87,11 @@
 
     @web.middleware
     async def _inject_fault(self, request, handler):
+        return await self.silence.respond(
+            request, lambda found: self._respond(found, handler)
+        )
+
+    async def _respond(self, request, handler):
         if self.fault == 'busy':
             return web.Response(status=503)
         if request.query.get('topic') in self.broken_topics:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -7,10 +7,10 @@
 import asyncio
 import contextlib
 
-import aiohttp
 import pytest
 import pytest_asyncio
 
+from arbutuschute import connections
 from arbutuschute import errors
 from arbutuschute.links import engine
 from arbutuschute.machines import fleet
@@ -43,7 +43,7 @@
     """Open an attempt; yield (response, backend server)."""
     backend = make_backend(server)
     async with (
-        aiohttp.ClientSession() as session,
+        connections.make_session() as session,
         engine.open_attempt(
             session, backend, '/x', HEADERS, b'', endless.DEADLINE_S
         ) as response,
@@ -109,7 +109,7 @@
 @pytest.mark.parametrize('trickles', [False, True])
 async def test_endless_load_report_is_ignored(server, trickles):
     server.send(*endless.BODIES['no length'], trickles)
-    async with aiohttp.ClientSession() as session:
+    async with connections.make_session() as session:
         with endless.check_limits():
             backend = make_backend(server)
             assert await fleet.fetch_load(session, backend) is None
--- a/tests/test_faulty_engines.py
+++ b/tests/test_faulty_engines.py
@@ -2,7 +2,6 @@
 
 import contextlib
 
-import aiohttp
 import pytest
 
 from arbutuschute import connections
@@ -90,9 +89,7 @@
 
 
 async def find_failure(send_request, server, request_id='r-1'):
-    async with aiohttp.ClientSession(
-        connector=connections.Connector()
-    ) as session:
+    async with connections.make_session() as session:
         with pytest.raises(errors.Failure) as caught:
             await send_request(session, server, request_id)
     return caught.value
@@ -110,7 +107,7 @@
         scripted.ScriptedServer(
             lambda number, request_id: (sent[number], scripted.KEEP)
         ) as server,
-        aiohttp.ClientSession(connector=connections.Connector()) as session,
+        connections.make_session() as session,
     ):
         with pytest.raises(errors.EngineRefused) as refused:
             await send(session, server, 'r-1')
@@ -190,7 +187,7 @@
         scripted.ScriptedServer(
             lambda *_: (response, scripted.LATE_CLOSE)
         ) as server,
-        aiohttp.ClientSession(connector=connections.Connector()) as session,
+        connections.make_session() as session,
     ):
         assert await call_service(session, server, 'r-1') == b'booked'
 
--- a/tests/test_large_records.py
+++ b/tests/test_large_records.py
@@ -7,10 +7,10 @@
 import asyncio
 import contextlib
 
-import aiohttp
 from aiohttp import web
 import msgspec
 
+from arbutuschute import connections
 from arbutuschute import errors
 from arbutuschute.zones import log_cache
 from tests import test_log_cache
@@ -27,7 +27,7 @@
     await web.TCPSite(runner, '127.0.0.1', 0).start()
     host, port = runner.addresses[0]
     try:
-        async with aiohttp.ClientSession() as session:
+        async with connections.make_session() as session:
             yield session, f'{host}:{port}'
     finally:
         await runner.cleanup()
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -7,7 +7,6 @@
 import asyncio
 import types
 
-import aiohttp
 import msgspec
 import pytest
 
@@ -28,9 +27,7 @@
 async def send_in_turn(server, send, *request_ids):
     """Return each request's body, or the failure that it ended in."""
     found = []
-    async with aiohttp.ClientSession(
-        connector=connections.Connector()
-    ) as session:
+    async with connections.make_session() as session:
         for request_id in request_ids:
             try:
                 found.append(await send(session, server, request_id))
@@ -97,8 +94,8 @@
 
     async with (
         scripted.ScriptedServer(answer) as server,
-        aiohttp.ClientSession() as kept,
-        aiohttp.ClientSession(
+        connections.make_session() as kept,
+        connections.make_session(
             connector=connections.Connector(force_close=True)
         ) as once,
     ):
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from arbutuschute import connections
 from arbutuschute import errors
 from arbutuschute.links import engine
 from arbutuschute.machines import statements
@@ -27,7 +28,7 @@
 
     async with (
         scripted.ScriptedServer(answer) as server,
-        test_faulty_engines.aiohttp.ClientSession() as session,
+        connections.make_session() as session,
     ):
         with pytest.raises(errors.EngineRefused) as caught:
             await test_faulty_engines.send(session, server, 'r-1')
@@ -62,7 +63,7 @@
 
     async with (
         scripted.ScriptedServer(answer) as server,
-        test_faulty_engines.aiohttp.ClientSession() as session,
+        connections.make_session() as session,
         test_faulty_engines.open_attempt(session, server, 'r-1') as (
             response,
             _,
