Bound the memory of all whole answers together, and of every other read

What callers saw: nothing of ours; operators of other systems lost a machine with all its requests, as an engine sent bytes without end.

Cause: each answer that is read whole is limited to 4 MB, but not their sum: 60 at once took 259 MB, and a machine has 200 to 300. Reads from the store, zone peers, the own log, the instance list, the rating service and of engines' answers to orders had no limit at all. Framing of chunks and interim heads cost processor time up to the deadline, and a trailer without end raised a RuntimeError in a stream, once.

Change: beyond 64 KB a body waits for one of six places of its process while its connection holds the sender back, so that a sound large answer is late at most. connections.read_all bounds the other reads. A connection ends a response of 256 KB of heads or of framing alone, and tells the body's reader of a parser's failure.

--- a/arbutuschute/attempts.py
+++ b/arbutuschute/attempts.py
@@ -133,7 +133,11 @@
         started_at = self._environment.timer.now()
         async with self._open(server, CHAT_PATH) as response:
             body, usage = await engine.read_whole(
-                response, work.id, server, self._compute_left_s()
+                response,
+                work.id,
+                server,
+                self._compute_left_s(),
+                self._environment.large_bodies,
             )
         work.record_ran(errors.Ran.YES)
         self._record_answered()
@@ -297,7 +301,10 @@
             **{'Content-Type': 'application/json'},
         ) as response:
             body = await engine.read_body(
-                response, server, self._compute_left_s()
+                response,
+                server,
+                self._compute_left_s(),
+                large_slots=environment.large_bodies,
             )
             kind, status = response.content_type, response.status
         work.record_ran(errors.Ran.YES)
--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -20,6 +20,14 @@
 import yarl
 
 HEAD_END = b'\r\n\r\n'
+# The platform's largest response is a page of 1,000 records.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# All heads before a response, interim ones too. They cost processor time for
+# as long as they go on.
+MAX_HEAD_BYTES = 256 * 1024
+# What frames the chunks of a body: this much, and some times what they hold.
+MAX_FRAMING_BYTES = 256 * 1024
+MAX_FRAMING_RATIO = 16
 # Another response follows these; 101 is final.
 INTERIM_STATUSES = {100, *range(102, 200)}
 
@@ -34,12 +42,15 @@
         # Bytes of the body that are still due, None if the end isn't known.
         self._body_left = None
         self._is_in_head = True
+        # Bytes received of the heads, and of the body with its framing.
+        self._head_bytes = self._body_bytes = 0
 
     def set_response_params(self, **params):
         """Prepare for the response to the next request."""
         self._head_tail = b''
         self._body_left = None
         self._is_in_head = True
+        self._head_bytes = self._body_bytes = 0
         super().set_response_params(**params)
 
     def data_received(self, data):
@@ -55,6 +66,7 @@
     def _receive_body(self, data):
         if self._body_left is None:
             super().data_received(data)
+            self._check_framing(len(data))
             return
         body, excess = data[: self._body_left], data[self._body_left :]
         self._body_left -= len(body)
@@ -65,15 +77,48 @@
             if self.transport is not None:
                 self.transport.close()
 
+    def _check_framing(self, received):
+        """End a response whose chunks hold almost nothing."""
+        self._body_bytes += received
+        payload = self._payload
+        if payload is None or self._upgraded:
+            return
+        framing = self._body_bytes - payload.total_bytes
+        limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * payload.total_bytes
+        if framing > limit:
+            self._end(f'{framing} bytes of framing')
+
+    def _end(self, cause):
+        self.set_exception(aiohttp.ClientPayloadError(cause))
+        if self.transport is not None:
+            self.transport.close()
+
+    def set_exception(self, exc, *cause):
+        """End the response, and the reading of its body as well.
+
+        The library doesn't tell the body's reader of a parser's failure.
+        """
+        super().set_exception(exc, *cause)
+        payload = self._payload
+        if payload is None or payload.is_eof():
+            return
+        if not isinstance(exc, (aiohttp.ClientError, OSError)):
+            exc = aiohttp.ClientPayloadError(repr(exc))
+        payload.set_exception(exc)
+
     def _receive_head(self, data):
         """Feed the parser the data up to a head's end; return the rest."""
         seen = self._head_tail + data
         cut = seen.find(HEAD_END)
+        size = cut + len(HEAD_END) - len(self._head_tail)
+        self._head_bytes += len(data) if cut < 0 else size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._end(f'a head of {self._head_bytes} bytes')
+            return b''
         if cut < 0:
             self._head_tail = seen[1 - len(HEAD_END) :]
             super().data_received(data)
             return b''
-        size = cut + len(HEAD_END) - len(self._head_tail)
         self._head_tail = b''
         queued = len(self._buffer)
         super().data_received(data[:size])
@@ -99,6 +144,26 @@
     """The connection ended before a response; the request may have run."""
 
 
+class ResponseTooLarge(aiohttp.ClientPayloadError):
+    """A response of the platform or of a peer that goes on and on."""
+
+
+async def read_all(response, limit_bytes=MAX_RESPONSE_BYTES):
+    """Return the body of a response that isn't a caller's.
+
+    Raise ``ResponseTooLarge`` for more than ``limit_bytes``.
+    """
+    parts = []
+    size = 0
+    while part := await response.content.readany():
+        size += len(part)
+        if size > limit_bytes:
+            response.close()
+            raise ResponseTooLarge(f'more than {limit_bytes} bytes')
+        parts.append(part)
+    return b''.join(parts)
+
+
 async def _send_once(request, handler):
     """Client middleware: end a request whose response was lost.
 
--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -12,6 +12,7 @@
 
 from arbutuschute import admission_control
 from arbutuschute import agreement
+from arbutuschute import bodies
 from arbutuschute import configuration_feed
 from arbutuschute import connections
 from arbutuschute.contracts import history
@@ -117,6 +118,7 @@
 
 def _build_links(environment):
     settings = environment.settings
+    environment.large_bodies = bodies.make_large_slots()
     environment.http = connections.make_session(
         connector=connections.Connector(
             limit=UNLIMITED_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
--- a/arbutuschute/environment.py
+++ b/arbutuschute/environment.py
@@ -25,6 +25,7 @@
         'http',
         'http_once',
         'incarnation',
+        'large_bodies',
         'learners',
         'leases_follower',
         'limit_reports',
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -126,10 +126,12 @@
 
 
 async def read_body(response, server, deadline_s,
-                    limit_bytes=bodies.MAX_BODY_BYTES):  # fmt: skip
+                    limit_bytes=bodies.MAX_BODY_BYTES,
+                    large_slots=None):  # fmt: skip
     """Return a whole body; raise ``AnswerBroken`` if it can't be read.
 
-    It may take ``deadline_s`` and ``limit_bytes`` at most.
+    It may take ``deadline_s`` and ``limit_bytes`` at most; a large one waits
+    for one of ``large_slots``.
     """
     closed = connections.watch_end(response)
     try:
@@ -138,6 +140,7 @@
                 lambda: connections.read(response, closed),
                 server.name,
                 limit_bytes,
+                large_slots,
             )
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
         raise errors.AnswerBroken(server.name).mark_ran(
@@ -145,13 +148,15 @@
         ) from None
 
 
-async def read_whole(response, work_id, server, deadline_s):
+async def read_whole(response, work_id, server, deadline_s, large_slots=None):
     """Return (body, usage) of a whole response.
 
     Raises ``AnswerBroken`` if it can't be read, ``AnswerCrossed`` if it has
     another request's id.
     """
-    body = await read_body(response, server, deadline_s)
+    body = await read_body(
+        response, server, deadline_s, large_slots=large_slots
+    )
     try:
         final = _final_decoder.decode(body)
     except msgspec.DecodeError:
--- a/arbutuschute/links/log.py
+++ b/arbutuschute/links/log.py
@@ -128,7 +128,7 @@
             allow_redirects=False,
             **options,
         ) as response:
-            return response.status, await response.read()
+            return response.status, await connections.read_all(response)
 
     async def _call(self, kind, url, send):
         try:
--- a/arbutuschute/links/rating.py
+++ b/arbutuschute/links/rating.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from arbutuschute import connections
 from arbutuschute import decoding
 
 RATING_TIMEOUT_S = 2.0
@@ -73,7 +74,7 @@
         ) as response:
             if response.status != 200:
                 return None
-            body = await response.read()
+            body = await connections.read_all(response)
         return decoding.decode_json(body, _Rating).rating
 
     def close(self):
--- a/arbutuschute/machines/instances.py
+++ b/arbutuschute/machines/instances.py
@@ -68,7 +68,7 @@
             timeout=aiohttp.ClientTimeout(total=LIST_TIMEOUT_S),
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await connections.read_all(response)
             if response.status != 200:
                 return result.Failure(errors.StoreDown('instance list'))
             listed = decoding.decode_json(body, InstanceList)
--- a/arbutuschute/operator_client.py
+++ b/arbutuschute/operator_client.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns import result
 
+from arbutuschute import connections
 from arbutuschute.contracts import changes
 from arbutuschute.contracts import fold
 from arbutuschute.contracts import history
@@ -119,7 +120,8 @@
                 timeout=aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
-                return decoding.decode_json(await response.read())
+                body = await connections.read_all(response)
+                return decoding.decode_json(body)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/arbutuschute/orders.py
+++ b/arbutuschute/orders.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from arbutuschute import agreement
+from arbutuschute import connections
 from arbutuschute.contracts import changes
 from arbutuschute import decoding
 from arbutuschute.ledgers import leases
@@ -19,6 +20,7 @@
 
 LEASE_NAME = 'orders'
 ORDER_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 1024 * 1024
 # Shares of a lease's duration: what is left unused for safety, and what is
 # left when the lease is renewed.
 MARGIN_SHARE = 0.2
@@ -213,7 +215,7 @@
                 timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
-                raw = await response.read()
+                raw = await connections.read_all(response, MAX_ANSWER_BYTES)
                 return raw if response.status == 200 else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return None
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -40,13 +40,15 @@
 
 def make_opener(session):
     """Return ``open_attempt`` over an HTTP client."""
+    large_slots = bodies.make_large_slots()
 
     @contextlib.asynccontextmanager
     async def open_attempt(server, request, left_s, last_event_id=None):
         """Send a request and yield its ``Attempt``, or raise ``Failure``."""
         response = await _send(session, server, request, left_s, last_event_id)
         try:
-            yield _check_head(server, request, response)
+            head = _check_head(server, request, response)
+            yield Attempt(server, response, head, large_slots)
         finally:
             response.close()
 
@@ -90,7 +92,7 @@
 
 
 def _check_head(server, request, response):
-    """Return the ``Attempt``; raise unless the response is the request's."""
+    """Return the ``Head``; raise unless the response is the request's."""
     headers = response.headers
     is_refusal = names.NOT_RUN in headers or response.status == 421
     # A refusal may lack the id, as no connection is used twice.
@@ -102,7 +104,7 @@
     if names.ORIGIN_PROOF not in headers and response.status < 300:
         raise errors.AnswerBroken(server.name).mark_ran(errors.Ran.UNKNOWN)
     load, slowness = _decode_load(server.name, headers.get(names.LOAD))
-    head = answers.Head(
+    return answers.Head(
         status=response.status,
         headers=_select_headers(headers),
         origin_proof=headers.get(names.ORIGIN_PROOF),
@@ -113,7 +115,6 @@
         is_leaving=statements.parse_leaving(headers.get(names.LEAVING)),
         hold_s=_read_hold_s(response),
     )
-    return Attempt(server, response, head)
 
 
 def _make_refusal(server, response):
@@ -171,9 +172,10 @@
 class Attempt:
     """A response that has begun; ``read`` returns its bytes as they come."""
 
-    __slots__ = ('_closed', '_response', '_server', 'head')
+    __slots__ = ('_closed', '_large_slots', '_response', '_server', 'head')
 
-    def __init__(self, server, response, head):
+    def __init__(self, server, response, head, large_slots):
+        self._large_slots = large_slots
         self._server = server
         self._response = response
         self.head = head
@@ -188,7 +190,9 @@
 
     async def read_whole(self):
         """Return the whole body; raise ``AnswerTooLarge`` without end."""
-        return await bodies.read_whole(self.read, self._server.name)
+        return await bodies.read_whole(
+            self.read, self._server.name, large_slots=self._large_slots
+        )
 
     async def read_answer(self):
         """Return the whole ``Answer``."""
--- a/arbutuschute/platform/store.py
+++ b/arbutuschute/platform/store.py
@@ -21,6 +21,8 @@
 # A large response may take longer on a busy link. Giving it up would only send
 # it once more.
 TRANSFER_TIMEOUT_S = 10.0
+# A page holds a megabyte and one record more at most, or less in base64.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # In every response; rises each time the store is restored from a copy.
 ERA_HEADER = 'Store-Era'
 NO_ERA = 0
@@ -232,7 +234,8 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            return response, await response.read()
+            raw = await connections.read_all(response, MAX_RESPONSE_BYTES)
+            return response, raw
 
 
 def _decode_era(text):
--- a/arbutuschute/zones/log_cache.py
+++ b/arbutuschute/zones/log_cache.py
@@ -265,7 +265,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            raw = await response.read()
+            raw = await connections.read_all(response, MAX_RECORD_BYTES)
             if response.status == 200:
                 return result.Success(decode(raw))
     except (
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -18,7 +18,11 @@
 )
 FAILED = OK.replace(b'200 OK', b'500 Failed')
 BUSY = OK.replace(b'200 OK', b'503 Busy')
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
 TRICKLE_BYTES = 16
+# Answers at the same time, and half of the memory of the smallest machines.
+CROWD = 60
+MAX_CROWD_MEMORY = 100 * 1024 * 1024
 TRICKLE_PAUSE_S = 0.02
 # What is sent once, and what is then sent again and again.
 HEADS = {
@@ -32,11 +36,20 @@
 BODIES = {
     'no length': (OK + b'\r\n', b'x' * 65536),
     'chunks': (
-        OK + b'Transfer-Encoding: chunked\r\n\r\n',
+        CHUNKED,
         b'10000\r\n' + b'x' * 65536 + b'\r\n',
     ),
     'length': (OK + b'Content-Length: 999999999999\r\n\r\n', b'x' * 65536),
     'blank lines': (OK + b'\r\n', b'\n' * 65536),
+    'chunk size': (CHUNKED, b'0' * 65536),
+    'chunk extension': (CHUNKED + b'1;', b'x' * 65536),
+    'trailers': (CHUNKED + b'1\r\nx\r\n0\r\n', b'X-T: y\r\n' * 1000),
+    'trailer': (CHUNKED + b'1\r\nx\r\n0\r\nX-T: ', b'y' * 65536),
+    'other protocol': (
+        OK.replace(b'200 OK', b'101 Switching Protocols')
+        + b'Upgrade: x\r\nConnection: upgrade\r\n\r\n',
+        b'x' * 65536,
+    ),
 }
 
 
@@ -89,7 +102,7 @@
 
 
 @contextlib.contextmanager
-def check_limits():
+def check_limits(max_memory=MAX_MEMORY):
     """Fail if the block takes too long or too much memory."""
     tracemalloc.start()
     began = time.monotonic()
@@ -99,4 +112,4 @@
     finally:
         tracemalloc.stop()
     assert time.monotonic() - began <= DEADLINE_S + SLACK_S
-    assert peak <= MAX_MEMORY
+    assert peak <= max_memory
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -170,7 +170,8 @@
         headers = {name: v for name, v in headers.items() if v is not None}
         base = f'http://{HOST}:{port or self._ports["callers"]}'
         url = yarl.URL(base + path, encoded=True)
-        return self.http.request(method, url, headers=headers, **more)
+        session = more.pop('session', self.http)
+        return session.request(method, url, headers=headers, **more)
 
     async def connect(self):
         return await asyncio.open_connection(HOST, self._ports['callers'])
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -87,6 +88,31 @@
     await server.wait_until_closed()
 
 
+# Each answer was within its limit, all together were as large as the memory of
+# a machine: its process ended, and the requests of other callers with it.
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize('case', ['no length', 'chunks', 'length'])
+async def test_many_endless_bodies_leave_memory(world, server, case, path):
+    server.send(*endless.BODIES[case])
+
+    async def call(session):
+        headers = {'Arbutuschute-Attempt-Id': 'r'}
+        async with world.call(
+            path, deadline_ms=DEADLINE_MS, session=session, headers=headers
+        ) as response:
+            return response.status
+
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        with endless.check_limits(endless.MAX_CROWD_MEMORY):
+            statuses = await asyncio.gather(
+                *(call(session) for _ in range(endless.CROWD))
+            )
+    assert set(statuses) <= {502, 503, 504}
+    await server.wait_until_closed()
+
+
 async def test_other_requests_are_served_beside_an_endless_answer(
     world, server
 ):
