Sample of calls: the fake session gives its body in parts

test_outer_surface_is_that_of_the_sample[calls] failed on the commit before (1 failed, 1391 passed): its fake response had only read(), which the product no longer calls, as that has no limit. The fake now has the stream that is read instead. The sample, and with it the check, is unchanged.

Measured: the 20 tests of tests/test_outer_surface.py pass.

--- a/tests/outer/calls.py
+++ b/tests/outer/calls.py
@@ -40,14 +40,20 @@
         return self.request('POST', url, **options)
 
     async def __aenter__(self):
-        return types.SimpleNamespace(status=200, headers={}, read=self._read)
+        parts = [self._body, b'']
+
+        async def read_any():
+            return parts.pop(0)
+
+        return types.SimpleNamespace(
+            status=200,
+            headers={},
+            content=types.SimpleNamespace(readany=read_any),
+        )
 
     async def __aexit__(self, *_):
         return None
 
-    async def _read(self):
-        return self._body
-
 
 def list_calls():
     """Return each request by its purpose."""
