--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -19,13 +19,16 @@
 from aiohttp import client_proto
 import yarl
 
+from arbutuschute import bodies
+from arbutuschute import errors
+
 HEAD_END = b'\r\n\r\n'
 # The platform's largest response is a page of 1,000 records.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # All heads before a response, interim ones too. They cost processor time for
 # as long as they go on.
 MAX_HEAD_BYTES = 256 * 1024
-# What frames the chunks of a body: this much, and some times what they hold.
+# The framing of chunks may take this much and a multiple of what they hold.
 MAX_FRAMING_BYTES = 256 * 1024
 MAX_FRAMING_RATIO = 16
 # Another response follows these; 101 is final.
@@ -78,7 +81,7 @@
                 self.transport.close()
 
     def _check_framing(self, received):
-        """End a response whose chunks hold almost nothing."""
+        """End a response that sends chunks with hardly any content."""
         self._body_bytes += received
         payload = self._payload
         if payload is None or self._upgraded:
@@ -145,23 +148,21 @@
 
 
 class ResponseTooLarge(aiohttp.ClientPayloadError):
-    """A response of the platform or of a peer that goes on and on."""
+    """A response that exceeds its limit; its connection is closed."""
 
 
 async def read_all(response, limit_bytes=MAX_RESPONSE_BYTES):
-    """Return the body of a response that isn't a caller's.
+    """Return the body of a response of the platform, a peer or a poll.
 
     Raise ``ResponseTooLarge`` for more than ``limit_bytes``.
     """
-    parts = []
-    size = 0
-    while part := await response.content.readany():
-        size += len(part)
-        if size > limit_bytes:
-            response.close()
-            raise ResponseTooLarge(f'more than {limit_bytes} bytes')
-        parts.append(part)
-    return b''.join(parts)
+    try:
+        return await bodies.read_whole(
+            response.content.readany, str(response.url), limit_bytes
+        )
+    except errors.AnswerTooLarge as failure:
+        response.close()
+        raise ResponseTooLarge(str(failure)) from None
 
 
 async def _send_once(request, handler):
--- a/tests/outer/calls.py
+++ b/tests/outer/calls.py
@@ -48,6 +48,7 @@
         return types.SimpleNamespace(
             status=200,
             headers={},
+            url='http://h',
             content=types.SimpleNamespace(readany=read_any),
         )
 
