--- a/tests/platform/test_sent_once.py
+++ b/tests/platform/test_sent_once.py
@@ -8,11 +8,10 @@
 import pytest
 from returns import result
 
-from arbutuschute import connections
 from arbutuschute import errors
 from arbutuschute.platform import store
-from tests.platform import conftest
 from tests.platform import standin
+from tests import test_large_records
 
 METHODS = ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST']
 MAX_ATTEMPTS = 3
@@ -78,12 +77,5 @@
             request.transport.abort()
         return web.Response(body=bytes(16))
 
-    runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, conftest.HOST, 0).start()
-    address = '{}:{}'.format(*runner.addresses[0])
-    try:
-        async with connections.make_session() as session:
-            return seen, await call(store.Store(session, address))
-    finally:
-        await runner.cleanup()
+    async with test_large_records.serve(handle) as (session, address):
+        return seen, await call(store.Store(session, address))
--- a/tests/silent.py
+++ b/tests/silent.py
@@ -3,9 +3,7 @@
 import asyncio
 import contextlib
 
-from aiohttp import web
-
-from arbutuschute import connections
+from tests import test_large_records
 
 FOREVER_S = 60.0
 
@@ -38,18 +36,9 @@
 async def serve(answer):
     """Serve HTTP requests; yield (silence, client session, address)."""
     silence = Silence()
-    seen = []
 
     async def handle(request):
-        seen.append(request.path)
         return await silence.respond(request, answer)
 
-    runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', 0).start()
-    host, port = runner.addresses[0]
-    try:
-        async with connections.make_session() as session:
-            yield silence, session, f'{host}:{port}'
-    finally:
-        await runner.cleanup()
+    async with test_large_records.serve(handle) as (session, address):
+        yield silence, session, address
