--- a/review/support_2/standins.py
+++ b/review/support_2/standins.py
@@ -278,6 +278,8 @@
                 await self.answer(head, reader, writer)
         except (asyncio.IncompleteReadError, OSError):
             pass
+        except asyncio.CancelledError:
+            pass  # The stand-in stops.
         finally:
             self._tasks.discard(task)
             writer.close()
