--- a/review/support_2/standins.py
+++ b/review/support_2/standins.py
@@ -230,6 +230,7 @@
         self._beats = None
         self._tasks = set()
         self._sequence = 0
+        self._zone = ''
         self._born = int(time.time() * 1000)
         self.name = name
         self.service = service
@@ -243,7 +244,8 @@
         """Listen, and register in the store."""
         self._server = await asyncio.start_server(self._serve, self._host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
-        self._beats = asyncio.ensure_future(self._beat(store, zone))
+        self._zone = zone
+        self._beats = asyncio.ensure_future(self._beat(store))
 
     async def stop(self):
         """Stop listening, and end all requests."""
@@ -252,20 +254,28 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _beat(self, store, zone):
+    def make_entry(self):
+        """Return the next entry of the server."""
+        self._sequence += 1
+        return {
+            'service': self.service,
+            'address': f'{self._host}:{self.port}',
+            'zone': self._zone,
+            'version': self.version,
+            'slots': 64,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'sequence': self._sequence,
+            'born': self._born,
+        }
+
+    def stop_beats(self):
+        """Write no more entries."""
+        self._beats.cancel()
+
+    async def _beat(self, store):
         while True:
-            self._sequence += 1
-            store.put_json('keyed.servers', self.name, {
-                'service': self.service,
-                'address': f'{self._host}:{self.port}',
-                'zone': zone,
-                'version': self.version,
-                'slots': 64,
-                'state': self.state,
-                'coldRemainingMs': 0,
-                'sequence': self._sequence,
-                'born': self._born,
-            })  # fmt: skip
+            store.put_json('keyed.servers', self.name, self.make_entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
