An answer with a broken field in its head is broken

What callers saw: a line that begins with a blank or a tab was passed on, as a part of the field before it. If it was the length, the body had no end and took in whatever followed. A line that begins with LF ended the head, and the rest of the head was the body. A control byte in a value closed the caller's connection without an answer, as no head with it can be written. The same in a stream that had begun: the next server's answer went on with it. Status lines of RTSP and ICE were taken as well.

Cause: the HTTP library reads responses leniently: it joins lines, takes a bare LF for the end of one, and lets control bytes in values pass. It is strict in Python's development mode only. Blanks and control bytes within or after a name were rejected before (00, 09, 0b, 0d and others); these cases stay.

Change: the connection keeps the head and has the library's own strict parser of fields check each line, one at a time, as some sound servers repeat a field such as Server, which that parser rejects too. A head has to end with CR LF, at the place where the lenient parser has seen its end, so that both agree where the body begins. Unusual sound heads are tested beside (broken.SOUND). A server that ends all lines of its heads with a bare LF is no longer served; RFC 9112 2.2 lets a recipient choose.

--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -18,6 +18,8 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
+from aiohttp import http_parser
 import yarl
 
 from arbutuschute import bodies
@@ -39,6 +41,10 @@
 # RFC 9110, section 15: other statuses are invalid. Another response follows
 # those below the first final one.
 MIN_STATUS, MIN_FINAL_STATUS, MAX_STATUS = 100, 200, 599
+# Of a broken line, in a failure's text.
+MAX_SHOWN_BYTES = 100
+
+_field_parser = http_parser.HeadersParser(lax=False)
 
 
 class _Handler(client_proto.ResponseHandler):
@@ -46,8 +52,8 @@
 
     def __init__(self, loop):
         super().__init__(loop)
-        # The last bytes of a head, to find an end that arrives in parts.
-        self._head_tail = b''
+        # What has arrived of the head.
+        self._head = bytearray()
         # Bytes of the body that are still due, None if the end isn't known.
         self._body_left = None
         self._is_in_head = True
@@ -56,7 +62,7 @@
 
     def set_response_params(self, **params):
         """Prepare for the response to the next request."""
-        self._head_tail = b''
+        self._head.clear()
         self._body_left = None
         self._is_in_head = True
         self._head_bytes = self._body_bytes = 0
@@ -118,7 +124,7 @@
     def feed_data(self, data, size=0):
         """Queue a response, or end one whose head is broken."""
         message, _ = data
-        fault = _find_fault(message)
+        fault = _find_fault(message, bytes(self._head))
         if fault is not None:
             self._end(fault)
         if self._exception is None:
@@ -126,24 +132,23 @@
 
     def _receive_head(self, data):
         """Feed the parser the data up to a head's end; return the rest."""
-        seen = self._head_tail + data
-        cut = seen.find(HEAD_END)
-        size = cut + len(HEAD_END) - len(self._head_tail)
-        self._head_bytes += len(data) if cut < 0 else size
+        kept = len(self._head)
+        self._head += data
+        end = self._head.find(HEAD_END, max(0, kept + 1 - len(HEAD_END)))
+        size = len(data) if end < 0 else end + len(HEAD_END) - kept
+        del self._head[kept + size :]
+        self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
             self._end(f'a head of {self._head_bytes} bytes')
             return b''
-        if cut < 0:
-            self._head_tail = seen[1 - len(HEAD_END) :]
-            super().data_received(data)
-            return b''
-        self._head_tail = b''
         queued = len(self._buffer)
         super().data_received(data[:size])
+        if end >= 0:
+            self._head.clear()
         if self._exception is not None:
             return b''
         if len(self._buffer) == queued:
-            return data[size:]  # Blank lines.
+            return data[size:]  # A part of a head, or blank lines.
         (message, _), _ = self._buffer[-1]
         if message.code >= MIN_FINAL_STATUS:
             self._is_in_head = False
@@ -160,17 +165,28 @@
         return int(text) if text.isascii() and text.isdigit() else None
 
 
-def _find_fault(message):
+def _find_fault(message, head):
     """Return why a response's head is broken, None if it is sound.
 
-    These are the checks that the library doesn't make.
+    ``head`` is what the parser has read as ``message``. These are the checks
+    that the library doesn't make, or not in its lenient parser of responses.
     """
+    if not head.endswith(HEAD_END):
+        return 'a head that ends without CR LF'
+    # Blank lines may come before a head.
+    status_line, *fields = filter(None, head.split(b'\r\n'))
+    if not status_line.startswith(b'HTTP/1.') or b'\n' in status_line:
+        return f'status line {status_line[:MAX_SHOWN_BYTES]!r}'
     if not MIN_STATUS <= message.code <= MAX_STATUS:
         return f'status {message.code:03}'
-    if message.version.major != 1:
-        return f'version {message.version.major} of the protocol'
     if message.code == http.HTTPStatus.SWITCHING_PROTOCOLS:
         return 'a change of protocol that was not requested'
+    for field in fields:
+        try:
+            # One at a time: some sound servers repeat a field.
+            _field_parser.parse_headers([field, b''])
+        except http_exceptions.BadHttpMessage:
+            return f'field {field[:MAX_SHOWN_BYTES]!r}'
     return None
 
 
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -18,9 +18,50 @@
 }
 STATUSES['no status'] = b'HTTP/1.1 Odd\r\n' + FIELDS
 STATUSES['another version'] = b'HTTP/2.0 200 OK\r\n' + FIELDS
-HEADS = {'statuses': STATUSES}
+STATUSES['another protocol'] = b'RTSP/1.0 200 OK\r\n' + FIELDS
+STATUSES['a line end without CR'] = b'HTTP/1.1 200 OK\n\n' + FIELDS
+# Blanks and control bytes; CR and LF are among them.
+WRONG_IN_NAMES = (0x00, 0x01, 0x09, 0x0A, 0x0B, 0x0D, 0x1F, 0x20, 0x7F, 0xE9)
+WRONG_IN_VALUES = (0x00, 0x01, 0x08, 0x0A, 0x0B, 0x0D, 0x1F, 0x7F)
+LINE = b'X-Note: 1\r\n'
+NAMES = {
+    f'{byte:02x} {place} a name': OK + FIELDS + LINE.replace(old, new)
+    for byte in WRONG_IN_NAMES
+    for place, old, new in (
+        ('before', b'X', b'%cX' % byte),
+        ('within', b'-', b'%c' % byte),
+        ('after', b':', b'%c:' % byte),
+    )
+}
+# The field before takes in the line after it: here, that is the length.
+NAMES['20 before the length'] = OK + FIELDS + LINE + b' '
+NAMES['0a before the length'] = OK + FIELDS + LINE + b'\n'
+NAMES['20 before the first name'] = OK + b' ' + LINE + FIELDS
+NAMES['no name'] = OK + FIELDS + b': 1\r\n'
+NAMES['no colon'] = OK + FIELDS + b'X-Note\r\n'
+VALUES = {
+    f'{byte:02x} in a value': OK + FIELDS + LINE.replace(b'1', b'1%c1' % byte)
+    for byte in WRONG_IN_VALUES
+}
+HEADS = {'statuses': STATUSES, 'names': NAMES, 'values': VALUES}
+# Unusual heads that are no reason to lose an answer.
+SOUND = {
+    'as usual': OK + FIELDS,
+    'no reason': b'HTTP/1.1 200\r\n' + FIELDS,
+    'after a blank line': b'\r\n' + OK + FIELDS,
+    'after another head': b'HTTP/1.1 103 Hints\r\n\r\n' + OK + FIELDS,
+    'a repeated field': OK + FIELDS + b'Server: a\r\nServer: b\r\n',
+    'no value': OK + FIELDS + b'X-Note:\r\n',
+    'a tab in a value': OK + FIELDS + b'X-Note: a\tb\r\n',
+    'another alphabet': OK + FIELDS + b'X-Note: caf\xe9\r\n',
+    'all characters of names': OK + FIELDS + b"!#$%&'*+-.^_`|~0aZ: 1\r\n",
+}
 # One head of each kind.
-SAMPLES = dict(next(iter(heads.items())) for heads in HEADS.values())
+SAMPLES = {
+    'status 000': STATUSES['status 000'],
+    '20 before the length': NAMES['20 before the length'],
+    '01 in a value': VALUES['01 in a value'],
+}
 
 
 def make_answer(head, body=b'', request_id=REQUEST_ID):
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -21,7 +21,7 @@
 @pytest.mark.parametrize('heads', broken.HEADS)
 async def test_broken_head_is_a_failure(world, serve, heads, path):
     sent = []
-    await serve('i-0', lambda *_: (sent[-1], scripted.KEEP))
+    await serve('i-0', lambda *_: (sent[-1], scripted.CLOSE))
     for case, head in broken.HEADS[heads].items():
         sent.append(broken.make_answer(head, BROKEN))
         status, body = await test_faulty_engines.send(world, path)
@@ -30,14 +30,23 @@
 
 
 @pytest.mark.parametrize('path', ['/again/x', '/stream/x'])
-@pytest.mark.parametrize('heads', broken.HEADS)
+@pytest.mark.parametrize('case', broken.SAMPLES)
 async def test_broken_head_is_replaced_by_a_sound_answer(
-    world, serve, heads, path
+    world, serve, case, path
 ):
-    head = next(iter(broken.HEADS[heads].values()))
-    answer = broken.make_answer(head, BROKEN)
-    first = await serve('i-0', lambda *_: (answer, scripted.KEEP))
-    sound = broken.make_answer(broken.OK + broken.FIELDS, EVENTS)
-    await serve('i-1', lambda *_: (sound, scripted.KEEP), zone='far')
+    answer = broken.make_answer(broken.SAMPLES[case], BROKEN)
+    first = await serve('i-0', lambda *_: (answer, scripted.CLOSE))
+    sound = broken.make_answer(broken.SOUND['as usual'], EVENTS)
+    await serve('i-1', lambda *_: (sound, scripted.CLOSE), zone='far')
     assert await test_faulty_engines.send(world, path) == (200, EVENTS)
     assert len(first.requests) == 1
+
+
+@pytest.mark.parametrize('path', PATHS)
+async def test_unusual_head_is_sound(world, serve, path):
+    sent = []
+    await serve('i-0', lambda *_: (sent[-1], scripted.CLOSE))
+    for case, head in broken.SOUND.items():
+        sent.append(broken.make_answer(head, EVENTS))
+        found = await test_faulty_engines.send(world, path)
+        assert found == (200, EVENTS), case
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from arbutuschute import connections
 from arbutuschute import errors
 from tests import broken
 from tests import documents
@@ -24,7 +25,7 @@
 async def test_broken_head_is_a_failure(heads, send):
     sent = []
     async with scripted.ScriptedServer(
-        lambda *_: (sent[-1], scripted.KEEP)
+        lambda *_: (sent[-1], scripted.CLOSE)
     ) as server:
         for case, head in broken.HEADS[heads].items():
             sent.append(broken.make_answer(head, BODIES[send]))
@@ -32,6 +33,19 @@
             assert failure.ran is errors.Ran.UNKNOWN, case
 
 
+@pytest.mark.parametrize('send', BODIES)
+async def test_unusual_head_is_sound(send):
+    for case, head in broken.SOUND.items():
+        answer = broken.make_answer(head, BODIES[send])
+        async with (
+            scripted.ScriptedServer(
+                lambda *_, answer=answer: (answer, scripted.CLOSE)
+            ) as server,
+            connections.make_session() as session,
+        ):
+            assert await send(session, server, 'r-1'), case
+
+
 # The same through a router's process.
 @pytest.mark.parametrize('heads', broken.HEADS)
 async def test_broken_head_reaches_no_caller(deployed, heads):
@@ -39,7 +53,7 @@
 
     def answer(number, request_id):
         body = faulty.STREAM % (request_id, request_id)
-        return broken.make_answer(sent[-1], body, request_id), scripted.KEEP
+        return broken.make_answer(sent[-1], body, request_id), scripted.CLOSE
 
     async with (
         scripted.ScriptedServer(answer, 'e1') as engine,
--- a/tests/test_client_answers.py
+++ b/tests/test_client_answers.py
@@ -126,8 +126,9 @@
 
 @pytest.mark.parametrize('client', CLIENTS)
 async def test_sound_answer_is_accepted(client):
-    sound = broken.make_answer(broken.OK + broken.FIELDS, CLIENTS[client][1])
-    assert await accepts(client, sound)
+    for case, head in broken.SOUND.items():
+        answer = broken.make_answer(head, CLIENTS[client][1])
+        assert await accepts(client, answer), case
 
 
 @pytest.mark.parametrize('client', CLIENTS)
