A response that is reset on the way is not whole

What callers saw: during an upload of 2 MB a server sent a 200, a part of its body and a reset, and the caller got the part as the whole answer, on both links, wherever the transfer coding's name held "chunked" without the body being in chunks ("chunked, gzip", "xchunked"). Without such a coding it was 502 before, and in a stream that had begun the next server was asked; these cases stay. All other clients took any part of a response without a length for the whole: a page of the store that was cut between two records, a peer's list, a poll, an order's answer.

Cause: whether a response ends with its connection was asked in two ways, by the parser and once more from the names of fields; and how that connection ended only by the two links to backend servers.

Change: the connection itself decides. When it is lost by a reset, the reader of a body that has no end yet gets an error instead of an end, whatever its framing is. All clients read through it, so the second question is gone. A whole answer with a length that comes early is still delivered.

--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -1,8 +1,10 @@
-"""Connections of HTTP clients to backend servers, and how they end.
+"""Connections of HTTP clients, and which responses they accept.
+
+A response whose head is broken reaches no reader: neither its status nor its
+body mean anything.
 
 A response with neither a length nor chunks ends with its connection. It is
-whole only if that was closed and not reset, which may happen before the
-response is read.
+whole only if that was closed and not reset.
 
 A response with a length is whole once it has arrived, whatever bytes follow.
 These belong to no request: they are dropped, with their connection.
@@ -121,6 +123,13 @@
             exc = aiohttp.ClientPayloadError(repr(exc))
         payload.set_exception(exc)
 
+    def connection_lost(self, exc):
+        """End the response; after a reset, its reader gets no end of it."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().connection_lost(exc)
+
     def feed_data(self, data, size=0):
         """Queue a response, or end one whose head is broken."""
         message, _ = data
@@ -298,7 +307,7 @@
 
 
 class Connector(aiohttp.TCPConnector):
-    """Tracks how each connection ends, from its creation on."""
+    """Makes connections that check their responses."""
 
     def __init__(self, **options):
         super().__init__(**options)
@@ -315,37 +324,4 @@
         protocol = await super()._create_connection(req, traces, timeout)
         if protocol.transport is not None:
             protocol.transport.max_size = READ_BYTES
-        closed = protocol.closed
-        if closed is not None:
-            closed.add_done_callback(lambda future: future.exception())
         return protocol
-
-
-def watch_end(response):
-    """Return the future of the connection's end; None if it doesn't matter.
-
-    Call it before reading: a response releases its connection at the end.
-    """
-    if _is_framed(response):
-        return None
-    return response._protocol.closed
-
-
-async def read(response, closed):
-    """Return the next bytes, ``b''`` at the end of a whole response.
-
-    ``closed`` is that of ``watch_end``. Raise ``aiohttp.ClientError`` or
-    ``OSError`` if the response is incomplete.
-    """
-    chunk = await response.content.readany()
-    if not chunk and closed is not None:
-        await asyncio.shield(closed)
-    return chunk
-
-
-def _is_framed(response):
-    headers = response.headers
-    return (
-        'Content-Length' in headers
-        or 'chunked' in headers.get('Transfer-Encoding', '').lower()
-    )
--- a/arbutuschute/links/engine.py
+++ b/arbutuschute/links/engine.py
@@ -133,11 +133,10 @@
     It may take ``deadline_s`` and ``limit_bytes`` at most; a large one waits
     for one of ``large_slots``.
     """
-    closed = connections.watch_end(response)
     try:
         async with asyncio.timeout(deadline_s):
             return await bodies.read_whole(
-                lambda: connections.read(response, closed),
+                response.content.readany,
                 server.name,
                 limit_bytes,
                 large_slots,
--- a/arbutuschute/platform/engine.py
+++ b/arbutuschute/platform/engine.py
@@ -176,19 +176,18 @@
 class Attempt:
     """A response that has begun; ``read`` returns its bytes as they come."""
 
-    __slots__ = ('_closed', '_large_slots', '_response', '_server', 'head')
+    __slots__ = ('_large_slots', '_response', '_server', 'head')
 
     def __init__(self, server, response, head, large_slots):
         self._large_slots = large_slots
         self._server = server
         self._response = response
         self.head = head
-        self._closed = connections.watch_end(response)
 
     async def read(self):
         """Return the next bytes, ``b''`` at the end of a whole response."""
         try:
-            return await connections.read(self._response, self._closed)
+            return await self._response.content.readany()
         except (aiohttp.ClientError, OSError):
             raise self._make_failure() from None
 
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -63,6 +63,21 @@
     '01 in a value': VALUES['01 in a value'],
 }
 
+# Framings of a body that ends with its connection.
+NO_LENGTH = b'\r\n'
+# A sender may use no coding but chunks, and that once, unless it is asked to.
+CODINGS = {
+    coding.decode(): b'Transfer-Encoding: %s\r\n\r\n' % coding
+    for coding in (
+        b'gzip', b'chunked, gzip', b'xchunked', b'"chunked"', b'identity', b''
+    )
+}  # fmt: skip
+
+
+def make_unframed(framing, body=b'', request_id=REQUEST_ID):
+    """Return a success with a framing of ``CODINGS`` or ``NO_LENGTH``."""
+    return (OK + FIELDS).replace(b'%s', request_id) + framing + body
+
 
 def make_answer(head, body=b'', request_id=REQUEST_ID):
     """Return an answer with a head of ``HEADS`` and a body with a length."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -221,8 +221,10 @@
     directory = world.instance.environment.directory
     servers = []
 
-    async def add(name, answer, **entry):
-        server = scripted.ScriptedServer(answer, name)
+    async def add(name, answer, reads_bodies=True, **entry):
+        server = scripted.ScriptedServer(
+            answer, name, reads_bodies=reads_bodies
+        )
         await server.__aenter__()
         servers.append(server)
         world.list_engine(server, **entry)
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -134,3 +134,25 @@
     body, is_complete = split_chunks(received)
     assert b'Last-Event-Id: 3' in last.requests[0]
     assert (body, is_complete) == (EVENTS, True)
+
+
+# Guards against a part of a stream that looks whole: it ends between two
+# events, and has no length.
+async def test_stream_that_is_reset_goes_on_elsewhere(world, serve):
+    event_bytes = len(EVENTS) // 6
+    parts = EVENTS[: 3 * event_bytes], EVENTS[3 * event_bytes :][:event_bytes]
+    left = [
+        (broken.make_unframed(broken.NO_LENGTH, part), scripted.LATE_RESET)
+        for part in parts
+    ]
+    rest = EVENTS[4 * event_bytes :]
+    left.append((wire.make_response(b'r-1', body=rest), scripted.KEEP))
+    servers = [
+        await serve(f'i-{zone}', lambda *_: left.pop(0), zone=zone)
+        for zone in 'abc'
+    ]
+    received, _ = await read_raw(world)
+    assert split_chunks(received) == (EVENTS, True)
+    heads = b''.join(head for server in servers for head in server.requests)
+    for last_id in (3, 4):
+        assert b'Last-Event-Id: %d\r' % last_id in heads
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -10,6 +10,8 @@
 # The caller has received all bytes before the connection is closed.
 LATE_CLOSE, LATE_RESET = 'late close', 'late reset'
 LATE_S = 0.05
+# What a server keeps of a body that it doesn't read.
+UNREAD_BYTES = 16 * 1024
 _ID = re.compile(rb'\r\n(?:X-Request-Id|Arbutuschute-Attempt-Id): (\S+)', re.I)
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.I)
 
@@ -19,11 +21,16 @@
 
     That is (bytes, how the connection goes on). ``number`` counts the
     requests from 0. A request without an id gets a 404 if it ``needs_id``.
+    Unless the server ``reads_bodies``, it answers while a large body is still
+    on its way.
     """
 
-    def __init__(self, answer, name='scripted', needs_id=True):
+    def __init__(
+        self, answer, name='scripted', needs_id=True, reads_bodies=True
+    ):
         self.answer = answer
         self._needs_id = needs_id
+        self._reads_bodies = reads_bodies
         self.name = name
         self.address = ''
         self.requests = []
@@ -32,7 +39,14 @@
         self._writers = []
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        listener = socket.create_server((HOST, 0))
+        if not self._reads_bodies:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES
+            )
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, limit=UNREAD_BYTES
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'{HOST}:{port}'
         return self
@@ -49,7 +63,8 @@
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 found = _LENGTH.search(head)
-                await reader.readexactly(int(found[1]) if found else 0)
+                if found and self._reads_bodies:
+                    await reader.readexactly(int(found[1]))
                 found = _ID.search(head)
                 if found is None and self._needs_id:
                     writer.write(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -8,6 +8,7 @@
 
 from arbutuschute import connections
 from arbutuschute import errors
+from arbutuschute.links import engine
 from tests import broken
 from tests import documents
 from tests import scripted
@@ -18,6 +19,16 @@
     faulty.call_service: b'booked',
     faulty.read_events: faulty.STREAM % (2 * (broken.REQUEST_ID,)),
 }
+UPLOAD = b'x' * 2_000_000
+
+
+async def upload(session, server, request_id):
+    """Return the body of the answer to a request with a large body."""
+    async with faulty.open_attempt(session, server, request_id, UPLOAD) as (
+        response,
+        backend,
+    ):
+        return await engine.read_body(response, backend, faulty.DEADLINE_S)
 
 
 @pytest.mark.parametrize('send', BODIES)
@@ -46,7 +57,59 @@
             assert await send(session, server, 'r-1'), case
 
 
-# The same through a router's process.
+# The body ends with the connection, so that its part looked whole.
+@pytest.mark.parametrize('end', [scripted.RESET, scripted.LATE_RESET])
+async def test_reset_during_an_upload_is_a_failure(end):
+    sent = []
+    async with scripted.ScriptedServer(
+        lambda *_: (sent[-1], end), reads_bodies=False
+    ) as server:
+        for framing in (broken.NO_LENGTH, *broken.CODINGS.values()):
+            sent.append(broken.make_unframed(framing, b'part'))
+            failure = await faulty.find_failure(upload, server)
+            assert failure.ran is errors.Ran.UNKNOWN, framing
+
+
+# A whole answer is no less whole because the server doesn't read the rest.
+async def test_early_answer_with_a_length_is_whole():
+    answer = broken.make_answer(broken.SOUND['as usual'], b'booked')
+    async with (
+        scripted.ScriptedServer(
+            lambda *_: (answer, scripted.LATE_RESET), reads_bodies=False
+        ) as server,
+        connections.make_session() as session,
+    ):
+        assert await upload(session, server, 'r-1') == b'booked'
+
+
+async def test_reset_during_an_upload_reaches_no_caller(deployed):
+    sent = []
+
+    def answer(number, request_id):
+        part = broken.make_unframed(sent[-1], b'part', request_id)
+        return part, scripted.LATE_RESET
+
+    async with scripted.ScriptedServer(
+        answer, 'booking', reads_bodies=False
+    ) as service:
+        await faulty.list_server(
+            deployed, service, kind='service', service='booking'
+        )
+        limits = {'body_bytes': 2 * len(UPLOAD)}
+        await deployed.publish_basics(documents.make_booking(limits=limits))
+        await deployed.start_routers(('r1', 'mtl-a'))
+        for framing in (broken.NO_LENGTH, *broken.CODINGS.values()):
+            sent.append(framing)
+            found = await deployed.post(
+                'r1',
+                '/services/visits/new',
+                {'photograph': UPLOAD.decode()},
+                headers={'Idempotency-Key': f'key-{len(sent)}'},
+            )
+            assert (found.status, found.ran) == (502, 'unknown'), framing
+
+
+# The heads again, through a router's process.
 @pytest.mark.parametrize('heads', broken.HEADS)
 async def test_broken_head_reaches_no_caller(deployed, heads):
     sent = []
--- a/tests/test_client_answers.py
+++ b/tests/test_client_answers.py
@@ -137,3 +137,11 @@
     for case, head in broken.HEADS[heads].items():
         answer = broken.make_answer(head, CLIENTS[client][1])
         assert not await accepts(client, answer), case
+
+
+# Without a length, a part of an answer looked whole.
+@pytest.mark.parametrize('client', CLIENTS)
+async def test_reset_answer_is_not_accepted(client):
+    answer = broken.make_unframed(broken.NO_LENGTH, CLIENTS[client][1])
+    assert await accepts(client, answer, scripted.LATE_CLOSE)
+    assert not await accepts(client, answer, scripted.LATE_RESET)
--- a/tests/test_faulty_engines.py
+++ b/tests/test_faulty_engines.py
@@ -41,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_attempt(session, server, request_id):
+async def open_attempt(session, server, request_id, body=b'{}'):
     """Send a request over the own link; yield (response, backend server)."""
     backend = make_backend(server)
     async with engine.open_attempt(
@@ -49,7 +49,7 @@
         backend,
         '/v1/chat/completions',
         {'X-Request-Id': request_id},
-        b'{}',
+        body,
         DEADLINE_S,
     ) as response:
         engine.check_echo(response, request_id, backend)
