An answer in a transfer coding that nobody undoes is broken

What callers saw: an answer in a transfer coding other than chunks, such as gzip, or chunks of it, as a 200 with the body as it came, which is not the server's body.

Cause: neither the HTTP library nor a reader of answers undoes such a coding, and no one asked. RFC 9112 7.4 lets a server use it only if the request says so (TE), which none does.

Change: the check of heads accepts chunks alone, once. identity, which RFC 9112 has no more, is rejected too.

--- a/arbutuschute/connections.py
+++ b/arbutuschute/connections.py
@@ -190,6 +190,9 @@
         return f'status {message.code:03}'
     if message.code == http.HTTPStatus.SWITCHING_PROTOCOLS:
         return 'a change of protocol that was not requested'
+    codings = message.headers.getall('Transfer-Encoding', ())
+    if codings and [coding.lower() for coding in codings] != ['chunked']:
+        return f'transfer codings {codings}'
     for field in fields:
         try:
             # One at a time: some sound servers repeat a field.
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -72,6 +72,13 @@
         b'gzip', b'chunked, gzip', b'xchunked', b'"chunked"', b'identity', b''
     )
 }  # fmt: skip
+# Each of these is chunked at its end.
+CHUNKED_CODINGS = {
+    'gzip, chunked': b'Transfer-Encoding: gzip, chunked\r\n\r\n',
+    'chunked twice': b'Transfer-Encoding: chunked, chunked\r\n\r\n',
+    'two fields': b'Transfer-Encoding: gzip\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n',
+}
 
 
 def make_unframed(framing, body=b'', request_id=REQUEST_ID):
@@ -79,6 +86,12 @@
     return (OK + FIELDS).replace(b'%s', request_id) + framing + body
 
 
+def make_chunked(framing, body=b'', request_id=REQUEST_ID):
+    """Return a success with a framing of ``CHUNKED_CODINGS``."""
+    chunks = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+    return make_unframed(framing, chunks, request_id)
+
+
 def make_answer(head, body=b'', request_id=REQUEST_ID):
     """Return an answer with a head of ``HEADS`` and a body with a length."""
     head = head.replace(b'%s', request_id)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -57,6 +57,26 @@
             assert await send(session, server, 'r-1'), case
 
 
+@pytest.mark.parametrize('send', BODIES)
+async def test_unknown_coding_is_a_failure(send):
+    body = BODIES[send]
+    cases = {
+        case: broken.make_unframed(framing, body)
+        for case, framing in broken.CODINGS.items()
+    } | {
+        case: broken.make_chunked(framing, body)
+        for case, framing in broken.CHUNKED_CODINGS.items()
+    }
+    sent = []
+    async with scripted.ScriptedServer(
+        lambda *_: (sent[-1], scripted.LATE_CLOSE)
+    ) as server:
+        for case, answer in cases.items():
+            sent.append(answer)
+            failure = await faulty.find_failure(send, server)
+            assert failure.ran is errors.Ran.UNKNOWN, case
+
+
 # The body ends with the connection, so that its part looked whole.
 @pytest.mark.parametrize('end', [scripted.RESET, scripted.LATE_RESET])
 async def test_reset_during_an_upload_is_a_failure(end):
--- a/tests/test_client_answers.py
+++ b/tests/test_client_answers.py
@@ -145,3 +145,14 @@
     answer = broken.make_unframed(broken.NO_LENGTH, CLIENTS[client][1])
     assert await accepts(client, answer, scripted.LATE_CLOSE)
     assert not await accepts(client, answer, scripted.LATE_RESET)
+
+
+@pytest.mark.parametrize('client', CLIENTS)
+async def test_unknown_coding_is_not_accepted(client):
+    body = CLIENTS[client][1]
+    for case, framing in broken.CODINGS.items():
+        answer = broken.make_unframed(framing, body)
+        assert not await accepts(client, answer, scripted.LATE_CLOSE), case
+    for case, framing in broken.CHUNKED_CODINGS.items():
+        answer = broken.make_chunked(framing, body)
+        assert not await accepts(client, answer), case
