Tests: an upload that is still being written when the connection is reset

Why: 2 MB fit into the kernel's buffers (they took 3.8 MB on loopback), so the upload had been written as far as the process could see. 6 MB don't. A close with the upload unread is a reset as well: both are tested now.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -15,7 +15,8 @@
 from tests import scripted
 
 PATHS = ['/once/x', '/again/x', '/stream/x']
-UPLOAD = b'x' * 2_000_000
+# More than the kernel buffers (net.ipv4.tcp_wmem: 4 MiB).
+UPLOAD = b'x' * 6_000_000
 EVENTS = b'id: 1\ndata: 1\n\n'
 BROKEN = b'id: 1\ndata: broken\n\n'
 
@@ -86,7 +87,7 @@
 
 # The body ends with the connection, so that its part looked whole.
 @pytest.mark.parametrize('path', ['/once/x', '/again/x'])
-@pytest.mark.parametrize('end', [scripted.RESET, scripted.LATE_RESET])
+@pytest.mark.parametrize('end', scripted.ENDS)
 async def test_reset_during_an_upload_is_a_failure(world, serve, end, path):
     sent = []
     await serve('i-0', lambda *_: (sent[-1], end), reads_bodies=False)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -9,6 +9,7 @@
 KEEP, CLOSE, RESET = 'keep', 'close', 'reset'
 # The caller has received all bytes before the connection is closed.
 LATE_CLOSE, LATE_RESET = 'late close', 'late reset'
+ENDS = (CLOSE, RESET, LATE_CLOSE, LATE_RESET)
 LATE_S = 0.05
 # What a server keeps of a body that it doesn't read.
 UNREAD_BYTES = 16 * 1024
@@ -22,7 +23,7 @@
     That is (bytes, how the connection goes on). ``number`` counts the
     requests from 0. A request without an id gets a 404 if it ``needs_id``.
     Unless the server ``reads_bodies``, it answers while a large body is still
-    on its way.
+    on its way. Each end is a reset then, as bytes are left unread.
     """
 
     def __init__(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -19,7 +19,8 @@
     faulty.call_service: b'booked',
     faulty.read_events: faulty.STREAM % (2 * (broken.REQUEST_ID,)),
 }
-UPLOAD = b'x' * 2_000_000
+# More than the kernel buffers (net.ipv4.tcp_wmem: 4 MiB).
+UPLOAD = b'x' * 6_000_000
 
 
 async def upload(session, server, request_id):
@@ -78,7 +79,7 @@
 
 
 # The body ends with the connection, so that its part looked whole.
-@pytest.mark.parametrize('end', [scripted.RESET, scripted.LATE_RESET])
+@pytest.mark.parametrize('end', scripted.ENDS)
 async def test_reset_during_an_upload_is_a_failure(end):
     sent = []
     async with scripted.ScriptedServer(
