--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -237,16 +237,20 @@
     `runs` holds (attempt id, time) of each request that it began to run.
     """
 
-    def __init__(self, name, record, answer, service='records'):
+    def __init__(self, name, record, answer, service='records', zone='mtl-a'):
         super().__init__()
         self.name = name
         self.record = record
         self.answer = answer
         self.service = service
         self.runs = []
+        # Whether each run gets a line in the record.
+        self.is_noted = True
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = 'ready'
+        self.zone = zone
+        self.cold_until = 0.0
 
     async def handle(self, first, headers, body, reader, writer):
         """Run a request that is for this engine."""
@@ -264,21 +268,43 @@
             )
             return True
         self.runs.append((attempt, time.monotonic()))
-        self.record.note(f'engine {self.name} runs {attempt}')
+        if self.is_noted:
+            self.record.note(f'engine {self.name} runs {attempt}')
         request = Request(attempt, first, headers, body, reader, writer)
         return await self.answer(self, request)
 
+    def get_cold_s(self):
+        """Return how much longer the engine is cold."""
+        return max(0.0, self.cold_until - time.monotonic())
+
+    async def crash(self):
+        """Break off all requests and accept none; say nothing."""
+        self.state = None
+        await self.close()
+        self.record.note(f'engine {self.name} crashes')
+
+    async def restart(self, cold_s):
+        """Start again at the same address under the same id, cold."""
+        await self.open(self.port)
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = 'ready'
+        self.cold_until = time.monotonic() + cold_s
+        self.record.note(
+            f'engine {self.name} has started, cold for {cold_s} s'
+        )
+
     def describe(self):
         """Return the engine's next entry."""
         self.sequence += 1
         return {
             'service': self.service,
             'address': f'{HOST}:{self.port}',
-            'zone': 'mtl-a',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 64,
             'state': self.state,
-            'coldRemainingMs': 0,
+            'coldRemainingMs': int(1000 * self.get_cold_s()),
             'born': self.born,
             'sequence': self.sequence,
         }
