--- a/review/15/case.py
+++ b/review/15/case.py
@@ -26,7 +26,8 @@
 WORK_S = 0.8
 REQUESTS_PER_S = 100
 DEADLINE_MS = 6000
-DOWN_S = 0.8
+# Half of a period of 1.4 s.
+DOWN_S = 0.7
 ROUNDS = 5
 ROUND_S = 9.0
 SETTLE_S = 6.0
