Review case 11: a machine sends work to a server that it knows has left

The store turns the zone's reader away right after the removal of an engine, and older records expire: the other machine takes the reader's old list.

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -153,8 +153,14 @@
     def __init__(self):
         super().__init__()
         self.topics = {}
+        # The first offset that is kept, by topic.
+        self.first = {}
         self._grown = asyncio.Event()
 
+    def forget(self, topic):
+        """Delete the records so far; the newest of each key stays known."""
+        self.first[topic] = len(self.topics.get(topic, ()))
+
     def put(self, topic, key, value):
         """Append a keyed record; None deletes the key. Return the time."""
         raw = b'' if value is None else json.dumps(value).encode()
@@ -177,17 +183,23 @@
     async def handle(self, first, headers, body, reader, writer):
         """Answer a call."""
         _, target, _ = first.split(' ')
-        path, query = parse_query(target)
-        status, answer = await getattr(
-            self, '_do' + path.replace('/', '_').replace('-', '_')
-        )(query, body)
+        status, answer = await self.perform(target, body)
         head = {'Content-Length': len(answer)}
         writer.write(make_head(status, head) + answer)
         await writer.drain()
         return True
 
+    async def perform(self, target, body):
+        """Return the status and the body of the answer to a call."""
+        path, query = parse_query(target)
+        name = '_do' + path.replace('/', '_').replace('-', '_')
+        return await getattr(self, name)(query, body)
+
     async def _do_log_read(self, query, _):
         topic, start = query['topic'], int(query['from'])
+        first = self.first.get(topic, 0)
+        if start < first:
+            return 410, json.dumps({'first': first}).encode()
         until = time.monotonic() + int(query.get('waitMs', 0)) / 1000
         while len(self.topics.get(topic, ())) <= start:
             left_s = until - time.monotonic()
@@ -198,7 +210,7 @@
             except TimeoutError:
                 break
         records = self.topics.get(topic, [])
-        parts = [struct.pack('>QQ', len(records), 0)]
+        parts = [struct.pack('>QQ', len(records), first)]
         for raw in records[start:]:
             parts.append(struct.pack('>I', len(raw)) + raw)
         return 200, b''.join(parts)
@@ -231,6 +243,28 @@
         return 200, json.dumps(found).encode()
 
 
+class Door(Server):
+    """Another address of the store, which may turn its callers away."""
+
+    def __init__(self, store):
+        super().__init__()
+        self._store = store
+        self.is_closed = False
+
+    async def handle(self, first, headers, body, reader, writer):
+        """Pass a call on to the store, or answer with 503."""
+        _, target, _ = first.split(' ')
+        status, answer = 503, b''
+        if not self.is_closed:
+            status, answer = await self._store.perform(target, body)
+        if self.is_closed:
+            status, answer = 503, b''
+        head = {'Content-Length': len(answer)}
+        writer.write(make_head(status, head) + answer)
+        await writer.drain()
+        return True
+
+
 class Engine(Server):
     """A server of a service; `answer(engine, request)` runs a request.
 
@@ -549,9 +583,10 @@
         self.list(engine)
         return engine
 
-    async def add_instance(self, name, **more):
+    async def add_instance(self, name, door=None, **more):
         """Start an instance and wait until it is ready."""
-        instance = Instance(name, self.store.port, self._folder.name, **more)
+        port = (door or self.store).port
+        instance = Instance(name, port, self._folder.name, **more)
         self.instances.append(instance)
         instance.start()
         if not await instance.wait_until_ready():
