--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
@@ -44,6 +45,8 @@
     'sessionS': 5,
 }
 HEARTBEAT_S = 1.2
+# A case ends its processes and gives up after this.
+MOST_S = 105.0
 REASONS = {
     200: 'OK',
     410: 'Gone',
@@ -655,11 +658,17 @@
 
 
 def run(case):
-    """Run `case()`; exit with 1 if it returns False, 2 if it can't run."""
+    """Exit with 1 if `case()` returns False, with 2 if it can't run."""
+
+    async def run_in_time():
+        async with asyncio.timeout(MOST_S):
+            return await case()
+
     try:
-        held = asyncio.run(case())
-    except CannotRun as cause:
-        print(f'cannot run: {cause}')
+        held = asyncio.run(run_in_time())
+    except Exception as cause:
+        traceback.print_exc()
+        print(f'cannot run: {cause!r}')
         sys.exit(2)
     print('the rule held' if held else 'the rule was broken')
     sys.exit(0 if held else 1)
