--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -5,11 +5,10 @@
 records before it.
 """
 
-import copy
-
 from arbutuschute.policy import baseline
 from arbutuschute.policy import comparison
 from arbutuschute.policy import rollout_records
+from arbutuschute.policy import session_memory
 from arbutuschute.zones import rendezvous
 
 # Servers of the old version up to which the first share is that large; with
@@ -31,11 +30,6 @@
 STEP_TIME = 0.07
 # Part of the roll-out's time by which it is completed or rolled back.
 END_BY = 0.9
-# A session continues if its next request comes within this time of the end of
-# the one before; the default of a setting.
-SESSION_S = 5.0
-# Nearly all streams end within this time of their start.
-LONG_STREAM_S = 6.0
 
 
 class Rollout:
@@ -232,29 +226,35 @@
 class Rollouts:
     """The newest order of each service, and the rejected versions."""
 
-    __slots__ = ('_baseline', '_last_on_old', '_memory_s', '_now',
-                 '_pending_records', '_replaced', 'by_service',
-                 'rejected')  # fmt: skip
+    __slots__ = ('_baseline', '_memory', '_now', '_pending_records',
+                 '_replaced', 'by_service', 'rejected')  # fmt: skip
 
-    def __init__(self, now, session_s=SESSION_S):
+    def __init__(self, now, session_s=session_memory.SESSION_S):
         # Newest records of orders that have not been read yet.
         self._pending_records = {}
         # The contents of orders that newer ones have replaced.
         self._replaced = set()
-        # When each key last went to a version other than a roll-out's new
-        # one, oldest first.
-        self._last_on_old = {}
-        self._memory_s = session_s + LONG_STREAM_S
+        self._memory = session_memory.SessionMemory(now, session_s)
         self._now = now
         self._baseline = baseline.Baseline(now)
         self.by_service = {}
         self.rejected = set()
 
-    def copy(self):
-        """Return a copy that records keys apart from this one."""
-        made = copy.copy(self)
-        made._last_on_old = dict(self._last_on_old)
-        return made
+    def begin_request(self, service, key):
+        """Note that a request of a session begins."""
+        self._memory.begin((service, key))
+
+    def record_attempt(self, server, key):
+        """Note that a request of a session is sent to a server."""
+        entry = server.entry
+        self._memory.record((entry.service, key), entry.version)
+
+    def end_request(self, service, key, is_session=True):
+        """Note that a request has ended.
+
+        Without ``is_session`` it had a key of its own.
+        """
+        self._memory.end((service, key), is_session)
 
     def apply_order(self, order, servers=0):
         """Apply an operator's order, unless it or a newer one is known.
@@ -354,8 +354,6 @@
         ]
         rollout = self.by_service.get(service)
         uses_new = self._uses_new(rollout, service, key)
-        if not uses_new:
-            self._record_old((service, key))
         if (
             rollout is None
             or rollout.phase is rollout_records.Phase.ROLLED_BACK
@@ -375,7 +373,7 @@
         """Return whether a key's requests go to the roll-out's new version.
 
         The first share takes new sessions only. Sessions that this instance
-        has seen on the old version stay there.
+        has seen on another version stay there.
         """
         if rollout is None:
             return False
@@ -387,12 +385,5 @@
             return False
         if share > rollout.first_share:
             return True
-        seen_at = self._last_on_old.get((service, key), float('-inf'))
-        return self._now() - seen_at > self._memory_s
-
-    def _record_old(self, key):
-        now = self._now()
-        self._last_on_old.pop(key, None)
-        self._last_on_old[key] = now
-        while now - next(iter(self._last_on_old.values())) > self._memory_s:
-            del self._last_on_old[next(iter(self._last_on_old))]
+        seen = self._memory.find((service, key))
+        return seen in (None, rollout.order.version)
--- a/arbutuschute/traffic/explanation.py
+++ b/arbutuschute/traffic/explanation.py
@@ -149,7 +149,6 @@
     view.rate_limits = environment.rate_limits.copy()
     view.cold_limits = environment.cold_limits.copy()
     view.evacuations = environment.evacuations.copy()
-    view.rollouts = environment.rollouts.copy()
     return view
 
 
--- a/arbutuschute/traffic/relay.py
+++ b/arbutuschute/traffic/relay.py
@@ -37,7 +37,7 @@
     while True:
         server = await sending.choose_server(environment, request, tried)
         tried.add(server.name)
-        request.begin_attempt(environment.now())
+        sending.begin_attempt(environment, request, server)
         try:
             final = await _attempt(environment, request, server, stream)
         except _AnswerDropped:
--- a/arbutuschute/traffic/request.py
+++ b/arbutuschute/traffic/request.py
@@ -110,6 +110,11 @@
         self.ran = errors.Ran.NO
         self.progress = progress.Progress.NONE
 
+    @property
+    def is_in_session(self):
+        """Whether the caller named a session."""
+        return self.session != self.id
+
     @property
     def known_ran(self):
         """Whether the request has run, as far as is known (``Ran``)."""
--- a/arbutuschute/traffic/sending.py
+++ b/arbutuschute/traffic/sending.py
@@ -204,6 +204,12 @@
     return shortest_s + unheard / len(waits) * excess_s
 
 
+def begin_attempt(environment, request, server):
+    """Count an attempt that is about to be sent to a server."""
+    request.begin_attempt(environment.now())
+    environment.rollouts.record_attempt(server, request.session)
+
+
 def may_retry(environment, request, ran, is_charged=True):
     """Return whether to retry; if so, charge the retry budget.
 
--- a/arbutuschute/traffic/whole.py
+++ b/arbutuschute/traffic/whole.py
@@ -29,7 +29,7 @@
                 raise
             break
         tried.add(server.name)
-        request.begin_attempt(environment.now())
+        sending.begin_attempt(environment, request, server)
         try:
             answer = await _exchange(environment, request, server)
         except errors.Failure as failure:
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -27,6 +27,14 @@
     return servers.Server(entry)
 
 
+def run_request(rollouts, candidates, key):
+    """Send a request of a session; return the server. It ends later."""
+    rollouts.begin_request('s', key)
+    server = rollouts.select('s', candidates, key)[0]
+    rollouts.record_attempt(server, key)
+    return server
+
+
 def make_rollout(duration_s=24.0):
     clock = Clock()
     rollouts = canary.Rollouts(clock)
@@ -205,7 +213,8 @@
         _, rollouts, _ = fleet[number]
         session = str(int(now / 2.0) * 30 + rng.randrange(30))
         candidates = [old, new] if now >= listed_at[number] else [old]
-        chosen = rollouts.select('s', candidates, session)[0]
+        chosen = run_request(rollouts, candidates, session)
+        rollouts.end_request('s', session)
         rollouts.record(chosen, 'error', False)
         before = seen.get(session)
         moved_back += before == 'v2' and chosen is old
@@ -263,24 +272,32 @@
     clock = Clock()
     rollouts = canary.Rollouts(clock, session_s=8.5)
     candidates = [make_server('old'), make_server('new', version='v2')]
-    following = [(rng.uniform(0.0, 12.0), f'{seed}-{n}') for n in range(400)]
+    following = [
+        (rng.uniform(0.0, 12.0), 'begin', f'{seed}-{n}') for n in range(400)
+    ]
     seen = {}
     moved = on_new = 0
     while following:
-        now, session = min(following)
-        following.remove((now, session))
+        now, what, session = min(following)
+        following.remove((now, what, session))
         if now > 24.0:
             continue
         clock.time = now
         if now > 10.0 and not rollouts.by_service:
             rollouts.apply_order(rollout_records.Order('s', 'v2', 24.0, 7))
-        chosen = rollouts.select('s', candidates, session)[0].entry.version
+        if what == 'end':
+            rollouts.end_request('s', session)
+            continue
+        chosen = run_request(rollouts, candidates, session).entry.version
         moved += seen.get(session, chosen) != chosen
         on_new += chosen == 'v2'
         seen[session] = chosen
+        run_s = rng.uniform(0.1, 4.0)
+        following.append((now + run_s, 'end', session))
         if rng.random() < 0.1:
             session = f'{seed}-{rng.random()}'
-        following.append((now + rng.uniform(0.5, 12.0), session))
+        pause_s = rng.uniform(0.4, 8.0)
+        following.append((now + run_s + pause_s, 'begin', session))
     assert moved == 0
     assert on_new
 
@@ -324,7 +341,9 @@
         if rng.random() < 0.1:
             session[1] = rng.randrange(20)
         key, number, before = session
-        version = fleet[number].select('s', candidates, key)[0].entry.version
+        chosen = run_request(fleet[number], candidates, key)
+        fleet[number].end_request('s', key)
+        version = chosen.entry.version
         moved += before == 'v1' and version == 'v2'
         trials += version == 'v2'
         session[2] = version
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -107,7 +107,9 @@
         [
             environment.random.getstate(),
             environment.metrics.totals,
-            environment.rollouts._last_on_old,
+            environment.rollouts._memory._versions,
+            environment.rollouts._memory._running,
+            environment.rollouts._memory._ended,
             list(environment.evacuations._zones),
             [server.in_flight for server in environment.directory.find('s')],
             *([each._buckets, each._statements] for each in limits),
