--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 import msgspec
-from returns import result
 
 from arbutuschute import eras
 from arbutuschute.ledgers import freshness
@@ -25,6 +24,7 @@
 from arbutuschute.platform import observations as observation_topic
 from arbutuschute.platform import readers
 from arbutuschute.platform import rollouts
+from arbutuschute.platform import session_lists
 from arbutuschute.platform import settings as settings_module
 from arbutuschute.platform import store
 from arbutuschute.policy import canary
@@ -48,6 +48,8 @@
 EXIT_MARGIN_S = 0.8
 # Reserved before that for the answers of requests that are ended.
 LAST_ANSWERS_S = 0.3
+# For the store's response, after the last requests have ended.
+LAST_LISTING_S = 0.5
 CHECK_PERIOD_S = 0.05
 # A start ends when its topics are read, a few milliseconds after its imports.
 # A period of 50 ms was a sixth of the start.
@@ -55,8 +57,6 @@
 # A start waits at most this long for the steps of roll-outs; a healthy store
 # responds in milliseconds.
 MAX_STEPS_WAIT_S = 1.0
-# The platform may change the settings file without a signal.
-SETTINGS_PERIOD_S = 2.0
 LISTEN_BACKLOG = 512
 # Requests that still run after the time to stop are cut off after this.
 SHUTDOWN_S = 0.1
@@ -66,18 +66,20 @@
     """One process from start to stop."""
 
     __slots__ = ('_caller_site', '_ingress', '_inner_intake', '_log',
-                 '_log_cache', '_path', '_peers', '_runners', '_sessions',
-                 '_settings', '_stopping', '_tasks', '_timer', '_was_ready',
-                 'environment',
+                 '_log_cache', '_peers', '_runners', '_sessions',
+                 '_settings', '_settings_file', '_stopping', '_tasks',
+                 '_timer', '_was_ready', 'environment',
                  'observations', 'operator', 'reader', 'rollout_task',
-                 'servers')  # fmt: skip
+                 'servers', 'session_lists')  # fmt: skip
 
     def __init__(self, settings, path, loop):
         self._settings = settings
-        self._path = path
         self._timer = timer_module.make_suspend_aware(loop)
         identity = f'{settings.name}/{time.time_ns() // 1_000_000}'
         self._log = logs.make_line_logger(instance=settings.name)
+        self._settings_file = settings_module.SettingsFile(
+            path, settings.bounds, self._timer, self._log, self._apply_bounds
+        )
         self._sessions = [engine.make_session(), store.make_session()]
         self.environment = self._build_environment()
         self._inner_intake = intake.make_inner(
@@ -120,7 +122,9 @@
         environment.retry_budget = retry_budget.RetryBudget(
             now, settings.bounds, environment.fleet_size.count
         )
-        environment.rollouts = canary.Rollouts(now, settings.bounds.session_s)
+        environment.rollouts = canary.Rollouts(
+            now, settings.bounds.session_s, settings.name, self._timer.wall
+        )
         environment.cold_limits = cold_limits.ColdLimits(
             now, settings.name, settings.region,
             environment.fleet_size.count_cautiously,
@@ -186,6 +190,10 @@
             client, self._timer, self._log, environment.random, identity,
             environment.rollouts, environment.directory, self.reader,
         )  # fmt: skip
+        self.session_lists = session_lists.SessionListTask(
+            client, self._timer, self._log, environment.random, settings.name,
+            environment.rollouts,
+        )  # fmt: skip
         for handle_restore in (
             environment.rollouts.begin_era, self.reader.handle_restore,
             self.observations.handle_restore,
@@ -203,6 +211,7 @@
         self.environment.rollouts.apply_order(
             order, len(self.environment.directory.find(order.service))
         )
+        self.session_lists.handle_order()
         self._log.info(
             'rollout ordered', service=order.service, version=order.version
         )
@@ -212,7 +221,7 @@
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        loop.add_signal_handler(signal.SIGHUP, self._settings_file.reload)
         await self._start()
         await self._stopping.wait()
         await self._stop()
@@ -240,10 +249,10 @@
             await self._listen(server, address)
         for follower in (
             self.operator, self.servers, self.rollout_task, self.reader,
-            self.observations,
+            self.observations, self.session_lists,
         ):  # fmt: skip
             self._start_task(follower.run())
-        self._start_task(self._watch_settings())
+        self._start_task(self._settings_file.run())
         for found in (self.environment.intake, self._inner_intake):
             self._start_task(found.run(self._timer))
         await self._wait_until_loaded()
@@ -320,32 +329,13 @@
 
         return await inspection.answer(self.environment, request)
 
-    def _reload_settings(self):
-        """Reload the settings; addresses stay as they were bound."""
-        answer = settings_module.load(self._path)
-        if isinstance(answer, result.Failure):
-            self._log.error('settings', cause=answer.failure().detail)
-            return
-        settings = answer.unwrap()
-        changed = settings.bounds != self._settings.bounds
-        self._settings = msgspec.structs.replace(
-            self._settings, bounds=settings.bounds
-        )
-        self.environment.freshness.lease_s = settings.bounds.lease_s
-        self.environment.retry_budget.set_bounds(settings.bounds)
-        self.environment.cold_limits.bounds = settings.bounds
-        self.environment.evacuations.evacuate_s = settings.bounds.evacuate_s
-        self._log.info('settings read again', changed=changed)
-
-    async def _watch_settings(self):
-        """Reload the settings when their file changes without a signal."""
-        known = settings_module.get_signature(self._path)
-        while True:
-            await self._timer.sleep(SETTINGS_PERIOD_S)
-            found = settings_module.get_signature(self._path)
-            if found != known:
-                known = found
-                self._reload_settings()
+    def _apply_bounds(self, bounds):
+        environment = self.environment
+        self._settings = msgspec.structs.replace(self._settings, bounds=bounds)
+        environment.freshness.lease_s = bounds.lease_s
+        environment.retry_budget.set_bounds(bounds)
+        environment.cold_limits.bounds = bounds
+        environment.evacuations.evacuate_s = bounds.evacuate_s
 
     async def _stop(self):
         """Leave the rotation, finish running requests and close."""
@@ -356,13 +346,20 @@
         environment.stop_ends_at = end - LAST_ANSWERS_S
         environment.state = 'leaving'
         self._log.info('stopping', in_flight=environment.in_flight)
+        # Sessions go on elsewhere from now on.
+        self._start_task(self.session_lists.write_at_stop())
         await self._wait_until(lambda: False, began + LEAVE_S)
         await self._wait_until(
             lambda: environment.in_flight == 0, environment.stop_ends_at
         )
         self._log.info('stopped', cut=environment.in_flight)
         environment.shutdown.end_running()
+        listing = asyncio.ensure_future(self.session_lists.write_at_stop())
         await self._wait_until(lambda: environment.in_flight == 0, end)
+        await self._wait_until(
+            listing.done, min(end, self._timer.now() + LAST_LISTING_S)
+        )
+        listing.cancel()
         if self._caller_site is not None:
             await listening.stop(
                 self._caller_site, self._runners[-1], self._timer
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -1,12 +1,12 @@
 """The task that advances roll-outs: evidence, steps and status."""
 
+import msgspec
 from returns import result
 
 from arbutuschute.platform import configuration
 from arbutuschute.platform import followers
 from arbutuschute.platform import reader_records
 from arbutuschute.platform import topics
-from arbutuschute.policy import comparison
 from arbutuschute.policy import rollout_records
 
 TOPIC = 'keyed.rollouts'
@@ -48,7 +48,7 @@
 
     def _apply(self, record):
         found = rollout_records.decode(record.value)
-        rollout = self._rollouts.apply(found)
+        rollout = self._rollouts.apply(found, self._find_age_s(found))
         if rollout is not None and isinstance(found, rollout_records.Step):
             self._log.info(
                 'rollout step',
@@ -60,6 +60,17 @@
                 offset=record.offset,
             )
 
+    def _find_age_s(self, found):
+        """Return how long ago a step was written that a start has read.
+
+        A step that is read later is as good as new. Clocks differ, so that an
+        age that all instances computed would begin steps at different times.
+        """
+        written_at = getattr(found, 'written_at', 0.0)
+        if self.is_loaded or not written_at:
+            return 0.0
+        return max(0.0, self._timer.wall() - written_at)
+
     @property
     def is_loaded(self):
         """Whether the steps made before this start have been read."""
@@ -145,6 +156,7 @@
         """
         key = f'step/{step.service}'
         is_first = not rollout.is_announced
+        step = msgspec.structs.replace(step, written_at=self._timer.wall())
         answer = await self._store.put(
             TOPIC, key, rollout_records.encode(step), at=self._topic.position
         )
@@ -158,8 +170,8 @@
             old=counts.sum_counts('old', 'error', self._identity),
             new_slow=counts.sum_counts('new', 'slow', self._identity),
             old_slow=counts.sum_counts('old', 'slow', self._identity),
-            new_paces=self._sum_paces(rollout, 'new'),
-            old_paces=self._sum_paces(rollout, 'old'),
+            new_paces=counts.sum_paces('new', self._identity),
+            old_paces=counts.sum_paces('old', self._identity),
             elapsed_s=round(step.elapsed_s, 2),
             written=isinstance(answer, result.Success),
         )
@@ -170,13 +182,6 @@
             await self._put_status(rollout)
         return True
 
-    def _sum_paces(self, rollout, side):
-        """Return (slower responses, compared ones) by signal."""
-        return {
-            signal: rollout.comparison.sum_counts(side, signal, self._identity)
-            for signal in comparison.list_pace_signals()
-        }
-
     async def _report_status(self, rollout):
         """Write the final status if its first writer did not."""
         if self._timer.now() - rollout.ended_at < STATUS_TAKEOVER_S:
--- a/arbutuschute/platform/settings.py
+++ b/arbutuschute/platform/settings.py
@@ -21,6 +21,8 @@
 LEASE_MARGIN_S = 0.6
 # The link of a machine whose settings name none.
 LINK_MBPS = 1000.0
+# The platform may change the file without a signal.
+CHECK_PERIOD_S = 2.0
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -96,6 +98,44 @@
     return found.st_mtime_ns, found.st_ino, found.st_size
 
 
+class SettingsFile:
+    """Applies the bounds in a file again when they change.
+
+    Addresses stay as they were bound.
+    """
+
+    __slots__ = ('_apply_bounds', '_bounds', '_log', '_path', '_timer')
+
+    def __init__(self, path, bounds, timer, log, apply_bounds):
+        self._path = path
+        self._bounds = bounds
+        self._timer = timer
+        self._log = log
+        self._apply_bounds = apply_bounds
+
+    def reload(self):
+        """Read the file and apply its bounds; keep them if it is bad."""
+        answer = load(self._path)
+        if isinstance(answer, result.Failure):
+            self._log.error('settings', cause=answer.failure().detail)
+            return
+        bounds = answer.unwrap().bounds
+        changed = bounds != self._bounds
+        self._bounds = bounds
+        self._apply_bounds(bounds)
+        self._log.info('settings read again', changed=changed)
+
+    async def run(self):
+        """Reload the file when it changes without a signal."""
+        known = get_signature(self._path)
+        while True:
+            await self._timer.sleep(CHECK_PERIOD_S)
+            found = get_signature(self._path)
+            if found != known:
+                known = found
+                self.reload()
+
+
 def decode(text, path):
     """Return ``Result`` with the ``Settings`` in ``text``.
 
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -6,9 +6,8 @@
 """
 
 from arbutuschute.policy import baseline
-from arbutuschute.policy import comparison
 from arbutuschute.policy import rollout_records
-from arbutuschute.policy import session_memory
+from arbutuschute.policy import sessions
 from arbutuschute.zones import rendezvous
 
 # Servers of the old version up to which the first share is that large; with
@@ -16,204 +15,6 @@
 # needs stay the same, while sessions that change version unseen grow in number
 # with the requests.
 SERVERS_AT_FIRST_SHARE = 9
-# Servers of the new version start with the order. After this time every
-# instance lists them, so all begin together and no session switches versions
-# back and forth.
-BEGIN_AFTER_S = 3.0
-# Upper bound of that time, as a part of the roll-out's time.
-MAX_BEGIN_SHARE = 0.2
-# A step takes effect once every instance has read it; they read every 1.2 s.
-EFFECT_DELAY_S = 1.6
-# Part of the roll-out's time after which sessions may move to the new version.
-RAMP_FROM = 0.5
-# Part of the roll-out's time that a step lasts at least, to show a fault.
-STEP_TIME = 0.07
-# Part of the roll-out's time by which it is completed or rolled back.
-END_BY = 0.9
-
-
-class Rollout:
-    """The state of one order."""
-
-    __slots__ = (
-        '_effect_after_s',
-        'comparison',
-        'ended_at',
-        'first_share',
-        'is_announced',
-        'is_in_log',
-        'is_settled',
-        'number',
-        'order',
-        'phase',
-        'started_at',
-    )
-
-    def __init__(self, order, now, first_share=rollout_records.SHARES[0]):
-        self.order = order
-        self.first_share = first_share
-        self.phase = rollout_records.Phase.RUNNING
-        self.number = 0
-        self.started_at = now
-        self.ended_at = now
-        # Whether the log has the order, the step that this instance knows of,
-        # and whether the operator has the roll-out's end.
-        self.is_in_log = True
-        self.is_announced = False
-        self.is_settled = False
-        # When the newest step takes effect, in seconds of the roll-out.
-        self._effect_after_s = 0.0
-        self.comparison = comparison.Comparison()
-
-    @property
-    def stepped_at(self):
-        """When the newest step takes effect.
-
-        An instance that starts during a roll-out estimates its start from
-        the ages in the records; each record may correct it.
-        """
-        return self.started_at + self._effect_after_s
-
-    def begin_era(self):
-        """Assume that the log has lost the order, its steps and its status."""
-        self.is_in_log = False
-        self.is_announced = False
-        self.is_settled = False
-
-    def adopt(self, order):
-        """Continue with the same order, written again at another offset."""
-        self.order = order
-        self.is_in_log = True
-
-    def get_share(self, now):
-        """Return the new version's share of sessions at ``now``."""
-        if self.phase is rollout_records.Phase.ROLLED_BACK:
-            return 0.0
-        if self.phase is rollout_records.Phase.COMPLETED:
-            return 1.0
-        number = self.find_step(now)
-        if number is None:
-            return 0.0
-        return (
-            rollout_records.SHARES[number] if number > 0 else self.first_share
-        )
-
-    def find_step(self, now):
-        """Return the step in effect at ``now``, None before the first."""
-        begin_s = min(BEGIN_AFTER_S, MAX_BEGIN_SHARE * self.order.duration_s)
-        if now - self.started_at < begin_s:
-            return None
-        return max(0, self.number - (now < self.stepped_at))
-
-    def apply(self, record, now):
-        """Apply a record about this order; records come in log order."""
-        self.started_at = min(self.started_at, now - record.elapsed_s)
-        if isinstance(record, rollout_records.Evidence):
-            self.comparison.merge(record)
-            return
-        if (
-            self.is_announced
-            and self.phase is not rollout_records.Phase.RUNNING
-        ):
-            return
-        if self._is_behind(record):
-            return
-        self.is_announced = True
-        self.first_share = record.first_share
-        if self.phase is record.phase is not rollout_records.Phase.RUNNING:
-            return
-        self.phase = record.phase
-        self.ended_at = now
-        if record.number > self.number:
-            self.number = record.number
-            self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
-
-    def _is_behind(self, step):
-        """Return whether a step is of a past that the roll-out has left.
-
-        An instance that starts after the log was restored begins it anew.
-        """
-        if self.phase is not rollout_records.Phase.RUNNING:
-            return step.phase is rollout_records.Phase.RUNNING
-        return (
-            step.phase is rollout_records.Phase.RUNNING
-            and step.number < self.number
-        )
-
-    def record(self, version, signal, failed):
-        """Record one outcome that this instance observed."""
-        self.comparison.record(self._find_side(version), signal, failed)
-
-    def record_pace(self, version, ratio, now):
-        """Record a time as a multiple of the old version's, None if unknown.
-
-        Times before the first step and at the last one are left out.
-        """
-        step = self.find_step(now)
-        if ratio is not None and step in comparison.COMPARED_STEPS:
-            side = self._find_side(version)
-            self.comparison.record_pace(side, step, ratio)
-
-    def _find_side(self, version):
-        return 'new' if version == self.order.version else 'old'
-
-    def make_evidence(self, instance, now):
-        """Return the own counts as ``Evidence`` for the log."""
-        return rollout_records.Evidence(
-            self.order.offset,
-            self.order.service,
-            instance,
-            self.comparison.get_own('new'),
-            self.comparison.get_own('old'),
-            now - self.started_at,
-        )
-
-    def decide(self, instance, now, old_idle):
-        """Return the next ``Step`` if it is due, or None.
-
-        ``old_idle`` is whether this instance has nothing in flight at the
-        old version.
-        """
-        elapsed = now - self.started_at
-        if not self.is_announced:
-            return self._make_step(self.number, self.phase, elapsed)
-        if self.phase is not rollout_records.Phase.RUNNING:
-            return None
-        if self.comparison.is_bad(instance):
-            return self._make_step(
-                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
-            )
-        duration = self.order.duration_s
-        if elapsed < RAMP_FROM * duration:
-            return None
-        is_last_step = self.number + 1 == len(rollout_records.SHARES)
-        if not self.comparison.may_advance(instance, is_last_step):
-            if elapsed < END_BY * duration:
-                return None
-            return self._make_step(
-                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
-            )
-        if now - self.stepped_at < STEP_TIME * duration:
-            return None
-        if self.number + 1 < len(rollout_records.SHARES):
-            return self._make_step(
-                self.number + 1, rollout_records.Phase.RUNNING, elapsed
-            )
-        if old_idle or elapsed >= END_BY * duration:
-            return self._make_step(
-                self.number, rollout_records.Phase.COMPLETED, elapsed
-            )
-        return None
-
-    def _make_step(self, number, phase, elapsed):
-        return rollout_records.Step(
-            self.order.offset,
-            self.order.service,
-            number,
-            phase,
-            elapsed,
-            self.first_share,
-        )
 
 
 def compute_first_share(servers):
@@ -223,38 +24,52 @@
     )
 
 
+def _compute_position(order, session):
+    """Return where a session lies in an order's shares, from 0 to 1."""
+    return rendezvous.hash_to_unit_interval(
+        f'{order.service}/{order.version}/{session}'
+    )
+
+
 class Rollouts:
     """The newest order of each service, and the rejected versions."""
 
-    __slots__ = ('_baseline', '_memory', '_now', '_pending_records',
-                 '_replaced', 'by_service', 'rejected')  # fmt: skip
+    __slots__ = ('_baseline', '_memory', '_name', '_now', '_pending_records',
+                 '_replaced', '_stop_records', '_wall', 'by_service',
+                 'rejected')  # fmt: skip
 
-    def __init__(self, now, session_s=session_memory.SESSION_S):
+    def __init__(self, now, session_s=sessions.SESSION_S, name='',
+                 wall=float):  # fmt: skip
+        # This instance's name, and a clock in Unix seconds.
+        self._name = name
+        self._wall = wall
         # Newest records of orders that have not been read yet.
         self._pending_records = {}
+        # The sessions of instances that have stopped, by service and name.
+        self._stop_records = {}
         # The contents of orders that newer ones have replaced.
         self._replaced = set()
-        self._memory = session_memory.SessionMemory(now, session_s)
+        self._memory = sessions.SessionMemory(now, session_s)
         self._now = now
         self._baseline = baseline.Baseline(now)
         self.by_service = {}
         self.rejected = set()
 
-    def begin_request(self, service, key):
-        """Note that a request of a session begins."""
-        self._memory.begin((service, key))
+    def begin_request(self, service, key, is_session=True):
+        """Note that a request of a session begins.
+
+        Without ``is_session`` it has a key of its own.
+        """
+        self._memory.begin((service, key), is_session)
 
     def record_attempt(self, server, key):
         """Note that a request of a session is sent to a server."""
         entry = server.entry
         self._memory.record((entry.service, key), entry.version)
 
-    def end_request(self, service, key, is_session=True):
-        """Note that a request has ended.
-
-        Without ``is_session`` it had a key of its own.
-        """
-        self._memory.end((service, key), is_session)
+    def end_request(self, service, key):
+        """Note that a request has ended."""
+        self._memory.end((service, key))
 
     def apply_order(self, order, servers=0):
         """Apply an operator's order, unless it or a newer one is known.
@@ -287,35 +102,112 @@
             rollout.begin_era()
 
     def _begin(self, order, servers):
+        # Imported at the first order, so that no start waits for it.
+        from arbutuschute.policy import rollout_state
+
         share = compute_first_share(servers)
-        self.by_service[order.service] = Rollout(order, self._now(), share)
+        self.by_service[order.service] = rollout_state.Rollout(
+            order, self._now(), share
+        )
         self.rejected.discard((order.service, order.version))
         self._apply_pending(order.service)
+        for record in self._stop_records.values():
+            self._apply_stop_record(record)
 
     def _apply_pending(self, service):
-        for record in self._pending_records.pop(service, {}).values():
-            self.apply(record)
+        pending = self._pending_records.pop(service, {})
+        for record, written_at in pending.values():
+            self.apply(record, self._now() - written_at)
 
-    def apply(self, record):
+    def apply(self, record, age_s=0.0):
         """Apply a record of the log; return its ``Rollout`` or None.
 
         Records and orders are read separately, so a record may come first.
+        ``age_s`` is how long ago it was written, as far as is known.
         """
+        if record.order is None:
+            self._stop_records[record.service, record.instance] = record
+            self._apply_stop_record(record)
+            return None
         rollout = self.by_service.get(record.service)
         is_order_known = rollout is not None and rollout.is_in_log
         if not is_order_known or rollout.order.offset < record.order:
-            writer = getattr(record, 'instance', None)
+            writer = type(record), getattr(record, 'instance', None)
             self._pending_records.setdefault(record.service, {})[writer] = (
-                record
+                record,
+                self._now() - age_s,
             )
             return None
         if rollout.order.offset != record.order:
             return None
-        rollout.apply(record, self._now())
+        if isinstance(record, rollout_records.Sessions):
+            rollout.lists.apply(record, record.instance == self._name)
+            return rollout
+        rollout.apply(record, self._now(), age_s)
         if rollout.phase is rollout_records.Phase.ROLLED_BACK:
             self.rejected.add((record.service, rollout.order.version))
         return rollout
 
+    def _apply_stop_record(self, record):
+        """Add the sessions of an instance that stopped to its roll-out's."""
+        rollout = self.by_service.get(record.service)
+        if rollout is None:
+            return
+        order_age_s = self._now() - rollout.started_at
+        if sessions.is_of_use(
+            record, order_age_s, self._memory.keep_s, self._wall()
+        ):
+            rollout.lists.apply(record)
+
+    def list_sessions(self, rollout):
+        """Return ``Sessions`` to write for a roll-out, None if all are known.
+
+        These are the sessions that would go to the new version at an instance
+        that has never seen them.
+        """
+        service = rollout.order.service
+        if not rollout.is_in_log or not rollout.is_before_ramp(self._now()):
+            return None
+        # The instance that announces the order may give it a smaller share.
+        share = (
+            rollout.first_share
+            if rollout.is_announced
+            else rollout_records.SHARES[0]
+        )
+        found = {
+            session: version
+            for session, version in self._memory.find_all(service).items()
+            if version != rollout.order.version
+            and _compute_position(rollout.order, session) < share
+        }
+        if not rollout.lists.add(service, found):
+            return None
+        return rollout.lists.make_record(
+            service, rollout.order.offset, self._name, self._wall()
+        )
+
+    def confirm_listed(self, record):
+        """Note that the log has ``Sessions`` of this instance."""
+        rollout = self.by_service.get(record.service)
+        if rollout is not None and rollout.order.offset == record.order:
+            rollout.lists.confirm(record)
+
+    def list_sessions_at_stop(self):
+        """Return ``Sessions`` of each service, for instances that go on."""
+        records = []
+        for service in self._memory.list_services():
+            rollout = self.by_service.get(service)
+            if rollout is not None and rollout.is_before_ramp(self._now()):
+                record = self.list_sessions(rollout)
+            else:
+                record = sessions.make_stop_record(
+                    service, self._memory.find_all(service), self._name,
+                    self._wall(),
+                )  # fmt: skip
+            if record is not None and record.versions:
+                records.append(record)
+        return records
+
     def record(self, server, signal, failed):
         """Record an outcome, if the service has a running roll-out."""
         rollout = self.by_service.get(server.entry.service)
@@ -372,18 +264,17 @@
     def _uses_new(self, rollout, service, key):
         """Return whether a key's requests go to the roll-out's new version.
 
-        The first share takes new sessions only. Sessions that this instance
-        has seen on another version stay there.
+        The first share takes new sessions only. Sessions that this or another
+        instance has seen on another version stay there.
         """
         if rollout is None:
             return False
         share = rollout.get_share(self._now())
-        position = rendezvous.hash_to_unit_interval(
-            f'{service}/{rollout.order.version}/{key}'
-        )
-        if position >= share:
+        if _compute_position(rollout.order, key) >= share:
             return False
         if share > rollout.first_share:
             return True
         seen = self._memory.find((service, key))
+        if seen is None:
+            seen = rollout.lists.find(service, key)
         return seen in (None, rollout.order.version)
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -124,6 +124,13 @@
         rows = (own, *others)
         return sum(row[0] for row in rows), sum(row[1] for row in rows)
 
+    def sum_paces(self, side, instance):
+        """Return (slower responses, compared ones) by signal."""
+        return {
+            signal: self.sum_counts(side, signal, instance)
+            for signal in list_pace_signals()
+        }
+
     def is_bad(self, instance):
         """Return whether the new version is worse by any signal."""
 
--- a/arbutuschute/policy/rollout_records.py
+++ b/arbutuschute/policy/rollout_records.py
@@ -1,4 +1,4 @@
-"""Records of roll-outs in the log: orders, steps and evidence."""
+"""Records of roll-outs in the log: orders, steps, evidence and sessions."""
 
 import enum
 import typing
@@ -42,7 +42,10 @@
 
 
 class Step(msgspec.Struct, frozen=True, tag='step'):
-    """A record that a roll-out has reached a share or its end."""
+    """A record that a roll-out has reached a share or its end.
+
+    ``written_at`` is in Unix seconds, 0 if it is not known.
+    """
 
     order: int
     service: str
@@ -50,6 +53,7 @@
     phase: Phase
     elapsed_s: _Seconds
     first_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = SHARES[0]
+    written_at: float = 0.0
 
 
 class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
@@ -63,12 +67,27 @@
     elapsed_s: _Seconds
 
 
-AnyRecord = Step | Evidence
+class Sessions(msgspec.Struct, frozen=True, tag='sessions'):
+    """Sessions of one instance, by the version that they ran on last.
+
+    ``versions`` maps a version to the packed hashes of its sessions;
+    ``written_at`` is in Unix seconds. Without an ``order`` the instance has
+    stopped, and its sessions may continue during an order that comes later.
+    """
+
+    service: str
+    instance: str
+    written_at: float
+    versions: dict[str, bytes]
+    order: int | None = None
+
+
+AnyRecord = Step | Evidence | Sessions
 _decoder = decoding.make_json_decoder(AnyRecord)
 
 
 def encode(record):
-    """Return a step or evidence as JSON."""
+    """Return a record as JSON."""
     return msgspec.json.encode(record)
 
 
--- /dev/null
+++ b/arbutuschute/policy/rollout_state.py
@@ -0,0 +1,238 @@
+"""The state of one roll-out that an operator ordered: its step and its end."""
+
+from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_records
+from arbutuschute.policy import sessions
+
+# Servers of the new version start with the order. After this time every
+# instance lists them, so all begin together and no session switches versions
+# back and forth.
+BEGIN_AFTER_S = 3.0
+# Upper bound of that time, as a part of the roll-out's time.
+MAX_BEGIN_SHARE = 0.2
+# A step takes effect once every instance has read it; they read every 1.2 s.
+EFFECT_DELAY_S = 1.6
+# Part of the roll-out's time after which sessions may move to the new version.
+RAMP_FROM = 0.5
+# Part of the roll-out's time that a step lasts at least, to show a fault.
+STEP_TIME = 0.07
+# Part of the roll-out's time by which it is completed or rolled back.
+END_BY = 0.9
+
+
+class Rollout:
+    """The state of one order."""
+
+    __slots__ = (
+        '_effect_after_s',
+        'comparison',
+        'ended_at',
+        'first_share',
+        'is_announced',
+        'is_in_log',
+        'is_settled',
+        'lists',
+        'number',
+        'order',
+        'phase',
+        'started_at',
+    )
+
+    def __init__(self, order, now, first_share=rollout_records.SHARES[0]):
+        self.order = order
+        self.first_share = first_share
+        self.phase = rollout_records.Phase.RUNNING
+        self.number = 0
+        self.started_at = now
+        self.ended_at = now
+        # Whether the log has the order, the step that this instance knows of,
+        # and whether the operator has the roll-out's end.
+        self.is_in_log = True
+        self.is_announced = False
+        self.is_settled = False
+        # When the newest step takes effect, in seconds of the roll-out.
+        self._effect_after_s = 0.0
+        self.comparison = comparison.Comparison()
+        self.lists = sessions.SessionLists()
+
+    @property
+    def _begin_s(self):
+        return min(BEGIN_AFTER_S, MAX_BEGIN_SHARE * self.order.duration_s)
+
+    @property
+    def begins_at(self):
+        """When the first step takes effect."""
+        return self.started_at + self._begin_s
+
+    @property
+    def lists_at(self):
+        """When instances list the sessions that have begun before.
+
+        Every instance has read the lists when the first step takes effect.
+        """
+        return max(self.started_at, self.begins_at - EFFECT_DELAY_S)
+
+    def is_before_ramp(self, now):
+        """Return whether sessions may not move to the new version yet."""
+        return (
+            self.phase is rollout_records.Phase.RUNNING
+            and not self.find_step(now)
+        )
+
+    @property
+    def stepped_at(self):
+        """When the newest step takes effect.
+
+        An instance that starts during a roll-out estimates its start from
+        the ages in the records; each record may correct it.
+        """
+        return self.started_at + self._effect_after_s
+
+    def begin_era(self):
+        """Assume that the log has lost the order, its steps and its status."""
+        self.is_in_log = False
+        self.is_announced = False
+        self.is_settled = False
+        self.lists.begin_era()
+
+    def adopt(self, order):
+        """Continue with the same order, written again at another offset."""
+        self.order = order
+        self.is_in_log = True
+
+    def get_share(self, now):
+        """Return the new version's share of sessions at ``now``."""
+        if self.phase is rollout_records.Phase.ROLLED_BACK:
+            return 0.0
+        if self.phase is rollout_records.Phase.COMPLETED:
+            return 1.0
+        number = self.find_step(now)
+        if number is None:
+            return 0.0
+        return (
+            rollout_records.SHARES[number] if number > 0 else self.first_share
+        )
+
+    def find_step(self, now):
+        """Return the step in effect at ``now``, None before the first."""
+        if now < self.begins_at:
+            return None
+        return max(0, self.number - (now < self.stepped_at))
+
+    def apply(self, record, now, age_s=0.0):
+        """Apply a record about this order; records come in log order.
+
+        ``age_s`` is how long ago it was written, by the clocks of two
+        instances. They may be wrong, so it tells no more than that the first
+        step is in effect.
+        """
+        elapsed_s = record.elapsed_s
+        if elapsed_s < self._begin_s:
+            elapsed_s = min(elapsed_s + age_s, self._begin_s)
+        self.started_at = min(self.started_at, now - elapsed_s)
+        if isinstance(record, rollout_records.Evidence):
+            self.comparison.merge(record)
+            return
+        if (
+            self.is_announced
+            and self.phase is not rollout_records.Phase.RUNNING
+        ):
+            return
+        if self._is_behind(record):
+            return
+        self.is_announced = True
+        self.first_share = record.first_share
+        if self.phase is record.phase is not rollout_records.Phase.RUNNING:
+            return
+        self.phase = record.phase
+        self.ended_at = now
+        if record.number > self.number:
+            self.number = record.number
+            self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
+
+    def _is_behind(self, step):
+        """Return whether a step is of a past that the roll-out has left.
+
+        An instance that starts after the log was restored begins it anew.
+        """
+        if self.phase is not rollout_records.Phase.RUNNING:
+            return step.phase is rollout_records.Phase.RUNNING
+        return (
+            step.phase is rollout_records.Phase.RUNNING
+            and step.number < self.number
+        )
+
+    def record(self, version, signal, failed):
+        """Record one outcome that this instance observed."""
+        self.comparison.record(self._find_side(version), signal, failed)
+
+    def record_pace(self, version, ratio, now):
+        """Record a time as a multiple of the old version's, None if unknown.
+
+        Times before the first step and at the last one are left out.
+        """
+        step = self.find_step(now)
+        if ratio is not None and step in comparison.COMPARED_STEPS:
+            side = self._find_side(version)
+            self.comparison.record_pace(side, step, ratio)
+
+    def _find_side(self, version):
+        return 'new' if version == self.order.version else 'old'
+
+    def make_evidence(self, instance, now):
+        """Return the own counts as ``Evidence`` for the log."""
+        return rollout_records.Evidence(
+            self.order.offset,
+            self.order.service,
+            instance,
+            self.comparison.get_own('new'),
+            self.comparison.get_own('old'),
+            now - self.started_at,
+        )
+
+    def decide(self, instance, now, old_idle):
+        """Return the next ``Step`` if it is due, or None.
+
+        ``old_idle`` is whether this instance has nothing in flight at the
+        old version.
+        """
+        elapsed = now - self.started_at
+        if not self.is_announced:
+            return self._make_step(self.number, self.phase, elapsed)
+        if self.phase is not rollout_records.Phase.RUNNING:
+            return None
+        if self.comparison.is_bad(instance):
+            return self._make_step(
+                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
+            )
+        duration = self.order.duration_s
+        if elapsed < RAMP_FROM * duration:
+            return None
+        is_last_step = self.number + 1 == len(rollout_records.SHARES)
+        if not self.comparison.may_advance(instance, is_last_step):
+            if elapsed < END_BY * duration:
+                return None
+            return self._make_step(
+                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
+            )
+        if now - self.stepped_at < STEP_TIME * duration:
+            return None
+        if self.number + 1 < len(rollout_records.SHARES):
+            return self._make_step(
+                self.number + 1, rollout_records.Phase.RUNNING, elapsed
+            )
+        if old_idle or elapsed >= END_BY * duration:
+            return self._make_step(
+                self.number, rollout_records.Phase.COMPLETED, elapsed
+            )
+        return None
+
+    def _make_step(self, number, phase, elapsed):
+        return rollout_records.Step(
+            self.order.offset,
+            self.order.service,
+            number,
+            phase,
+            elapsed,
+            self.first_share,
+        )
--- a/arbutuschute/traffic/handler.py
+++ b/arbutuschute/traffic/handler.py
@@ -20,7 +20,9 @@
     environment.retry_budget.record_request(request.service)
     environment.demand.record(request.service)
     environment.in_flight += 1
-    environment.rollouts.begin_request(request.service, request.session)
+    environment.rollouts.begin_request(
+        request.service, request.session, request.is_in_session
+    )
     left_s = request.deadline_at - RESPONSE_MARGIN_S - environment.now()
     try:
         async with asyncio.timeout(left_s):
@@ -32,9 +34,7 @@
         raise permission.make_deadline_failure(request) from None
     finally:
         environment.in_flight -= 1
-        environment.rollouts.end_request(
-            request.service, request.session, request.is_in_session
-        )
+        environment.rollouts.end_request(request.service, request.session)
 
 
 def admit(environment, request):
--- a/arbutuschute/zones/rendezvous.py
+++ b/arbutuschute/zones/rendezvous.py
@@ -15,5 +15,9 @@
 
 
 def hash_to_unit_interval(key):
-    """Return a number in [0, 1) that depends on ``key`` alone."""
-    return xxhash.xxh3_64_intdigest(key.encode()) / HASH_SPAN
+    """Return a number in [0, 1) that depends on ``key`` alone.
+
+    The key may hold text that wasn't UTF-8, as a header may be.
+    """
+    raw = key.encode(errors='surrogateescape')
+    return xxhash.xxh3_64_intdigest(raw) / HASH_SPAN
--- a/tests/outer/wire.py
+++ b/tests/outer/wire.py
@@ -189,6 +189,9 @@
     )
     counts = {'error': (1, 20), 'slow': (2, 30)}
     evidence = rollout_records.Evidence(4, 'chat', 'mtl-a-1', counts, {}, 2.5)
+    sessions = rollout_records.Sessions(
+        'chat', 'mtl-a-1', 9.5, {'1': b'\x00\x01\x02\x03'}, 4
+    )
     cases += [
         (
             'configuration service profile', SERVICE_PROFILE, encode,
@@ -214,6 +217,8 @@
         ),
         ('keyed.rollouts evidence', evidence, rollout_records.encode,
          rollout_records.decode),
+        ('keyed.rollouts sessions', sessions, rollout_records.encode,
+         rollout_records.decode),
         (
             'keyed.readers',
             reader_records.Entry('10.0.0.1:7', 'mtl-a-1'),
@@ -222,7 +227,7 @@
         ),
     ]  # fmt: skip
     for phase in rollout_records.Phase:
-        step = rollout_records.Step(4, 'chat', 1, phase, 2.5, 0.03)
+        step = rollout_records.Step(4, 'chat', 1, phase, 2.5, 0.03, 9.5)
         name = f'keyed.rollouts step {phase.value}'
         cases.append(
             (name, step, rollout_records.encode, rollout_records.decode)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from arbutuschute import instance
 from arbutuschute.platform import followers
+from arbutuschute.platform import settings
 from arbutuschute.policy import rollout_records
 from tests.platform import conftest
 from tests.platform import standin
@@ -340,10 +340,10 @@
     path = world.settings_path
     environment = world.instance.environment
     before = environment.freshness.lease_s
-    await asyncio.sleep(instance.SETTINGS_PERIOD_S + 0.2)
+    await asyncio.sleep(settings.CHECK_PERIOD_S + 0.2)
     assert environment.freshness.lease_s == before
     path.write_text(text.replace('revokeMs=1800', 'revokeMs=2800'))
     await conftest.wait_for(lambda: environment.freshness.lease_s > before)
     path.write_text('node=only\n')
-    await asyncio.sleep(instance.SETTINGS_PERIOD_S + 0.2)
+    await asyncio.sleep(settings.CHECK_PERIOD_S + 0.2)
     assert environment.freshness.lease_s > before
--- a/tests/stepping.py
+++ b/tests/stepping.py
@@ -14,6 +14,8 @@
     def now(self):
         return self.time
 
+    wall = now
+
     async def sleep(self, seconds):
         done = asyncio.get_running_loop().create_future()
         self._sleepers.append((self.time + seconds, id(done), done))
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -10,6 +10,7 @@
 from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
 from arbutuschute.policy import rollout_records
+from arbutuschute.policy import rollout_state
 
 
 class Clock:
@@ -162,7 +163,7 @@
     rollouts.apply(
         rollout_records.Step(7, 's', 2, rollout_records.Phase.RUNNING, 4.0)
     )
-    clock.time += canary.EFFECT_DELAY_S
+    clock.time += rollout_state.EFFECT_DELAY_S
     rollouts.record_time(new, 'model', 0.4)
     assert rollout.comparison.sum_counts('new', 'slower-0', 'i') == (1, 1)
     assert rollout.comparison.sum_counts('new', 'slower-1', 'i') == (0, 0)
@@ -257,7 +258,7 @@
     )
     assert clock.time - rollout.started_at >= 13.0
     assert rollout.get_share(clock.time) == rollout_records.SHARES[0]
-    clock.time += canary.EFFECT_DELAY_S
+    clock.time += rollout_state.EFFECT_DELAY_S
     assert rollout.get_share(clock.time) == rollout_records.SHARES[1]
 
 
@@ -373,7 +374,7 @@
     rollout = make_compared(8, 10)
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 12.0, True) is None
-    step = rollout.decide('i', canary.END_BY * 15.0, True)
+    step = rollout.decide('i', rollout_state.END_BY * 15.0, True)
     assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
@@ -399,7 +400,7 @@
     rollout = make_failing(*new, *old)
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 15.0, True) is None
-    step = rollout.decide('i', canary.END_BY * 24.0, True)
+    step = rollout.decide('i', rollout_state.END_BY * 24.0, True)
     assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -35,6 +35,8 @@
     def now(self):
         return self.time
 
+    wall = now
+
     async def sleep(self, seconds):
         self.time += seconds
 
