--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -14,6 +14,9 @@
 PAUSES_S = (0.3, 1.0, 2.0, 4.0)
 # Gone servers that are remembered; the oldest are dropped.
 MAX_GONE = 4096
+# A server's first entries. One that is first heard of by a later entry has
+# been known to others.
+FIRST_ENTRIES = 2
 COLD_CHECK_PERIOD_S = 0.5
 
 
@@ -131,7 +134,8 @@
 
     After an outage of the store, servers that are alive renew the entries
     that lapsed meanwhile. Removals are deferred so that they stay in use.
-    A store that was restored from a copy may list servers that are gone.
+    The store may list servers that are gone: it was restored from a copy, or
+    wrote an entry long after the server had sent it.
     """
 
     __slots__ = ('_defer_until', '_deferred', '_gone', '_held_back', '_now',
@@ -163,14 +167,38 @@
         gone = self._gone.get(entry.name)
         return gone is not None and entry.age_rank <= gone.age_rank
 
+    def is_unconfirmed(self, entry):
+        """Return whether an entry may be an old one of an unknown server.
+
+        This instance may have started after the server was gone. A newer
+        entry shows that the server is alive. Without another server of its
+        service, and after an outage, it is taken to be.
+        """
+        if entry.name in self.servers or entry.name in self._gone:
+            return False
+        if entry.sequence <= FIRST_ENTRIES or self._now() < self._defer_until:
+            return False
+        held, _ = self._held_back.get(entry.name, (None, None))
+        if held is not None and held.age_rank < entry.age_rank:
+            return False
+        return any(not s.leaving for s in self.find(entry.service))
+
     def hold_back(self, entry, seconds):
         """Apply an entry after ``seconds``, unless it is removed by then.
 
-        A server in use is not removed meanwhile.
+        A newer one cancels that. Further old ones don't delay it, as those of
+        a server whose clock runs behind are old, too.
         """
-        self._deferred.pop(entry.name, None)
-        if entry.name not in self.servers:
-            self._held_back[entry.name] = entry, self._now() + seconds
+        known = self.servers.get(entry.name)
+        if known is not None and known.entry.born == entry.born:
+            return
+        _, until = self._held_back.get(entry.name, (None, float('inf')))
+        until = min(until, self._now() + seconds)
+        self._held_back[entry.name] = entry, until
+
+    def keep(self, name):
+        """Cancel the deferred removal of a server."""
+        self._deferred.pop(name, None)
 
     def apply(self, entry):
         """Add or update a server; cancel its deferred removal."""
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -36,6 +36,8 @@
 # An entry of a server that is gone lapses within three of its heartbeats, so
 # one that is still listed after this time is of a server that is alive.
 RESTORED_ENTRY_S = 6.0
+# The same for entries that the store may write up to 6 s after they were sent.
+LATE_ENTRY_S = 10.0
 
 
 class OperatorFollower:
@@ -215,14 +217,15 @@
         if entry is None:
             self._log.debug('server entry malformed', server=record.key)
             return
-        if self._topic.is_restored and self._directory.is_outdated(entry):
-            self._log.info(
-                'server entry of the store is older',
-                server=entry.name,
-                state=entry.state,
-                offset=record.offset,
+        if self._directory.is_outdated(entry):
+            self._hold_back(
+                record, entry, 'server entry of the store is older'
             )
-            self._directory.hold_back(entry, RESTORED_ENTRY_S)
+            return
+        if not self._topic.is_snapshot and self._directory.is_unconfirmed(
+            entry
+        ):
+            self._hold_back(record, entry, 'server entry unconfirmed')
             return
         known = self._directory.servers.get(entry.name)
         if known is None or known.entry.state != entry.state:
@@ -237,6 +240,22 @@
             )
         self._directory.apply(entry)
 
+    def _hold_back(self, record, entry, event):
+        """Don't use an entry yet that may be older than what is known."""
+        self._log.info(
+            event,
+            server=entry.name,
+            state=entry.state,
+            born=entry.born,
+            sequence=entry.sequence,
+            offset=record.offset,
+        )
+        if self._topic.is_restored:
+            self._directory.keep(entry.name)
+            self._directory.hold_back(entry, RESTORED_ENTRY_S)
+        else:
+            self._directory.hold_back(entry, LATE_ENTRY_S)
+
     def _remove(self, name):
         if name not in self._directory.servers:
             self._directory.remove(name)
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -37,7 +37,8 @@
 
     ``begin_era()`` is called when the store has been restored, before its
     newest records are applied. ``is_restored`` says whether those are being
-    applied: they may be older than what is known.
+    applied: they may be older than what is known. ``is_snapshot`` says
+    whether it is the newest records, and not those that follow.
     """
 
     __slots__ = ('_apply', '_begin_era', '_failed_reads', '_failing_since',
@@ -45,7 +46,7 @@
                  '_remove', '_store', '_timer', '_topic', '_tried_at',
                  '_was_long_poll',
                  '_zone_reader', 'confirmed_at', 'era', 'failing',
-                 'is_restored', 'position')  # fmt: skip
+                 'is_restored', 'is_snapshot', 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, zone_reader=None, read_limits=None,
@@ -65,7 +66,7 @@
         self.era = None
         # Records of an earlier era than this one are gone.
         self._least_era = store_module.NO_ERA
-        self.is_restored = False
+        self.is_restored = self.is_snapshot = False
         # Each key's newest (offset, value).
         self._newest = {}
         self.failing = False
@@ -179,6 +180,7 @@
         if self.era is not None and snapshot.era > self.era:
             self.is_restored = True
             self._begin_era()
+        self.is_snapshot = True
         self.era = self._least_era = snapshot.era
         self._newest = {}
         for record in sorted(snapshot.records, key=lambda r: r.offset):
@@ -189,7 +191,7 @@
         )
         self.position = snapshot.end
         self._was_long_poll = False
-        self.is_restored = False
+        self.is_restored = self.is_snapshot = False
 
     async def _read_next(self, wait_s, is_direct):
         requested_at = self._timer.now()
--- a/arbutuschute/policy/comparison.py
+++ b/arbutuschute/policy/comparison.py
@@ -99,8 +99,13 @@
             self.record(side, signal, exceeds)
 
     def merge(self, evidence):
-        """Replace what is known of the instance that wrote ``evidence``."""
-        self._others[evidence.instance] = evidence
+        """Replace what is known of the instance that wrote ``evidence``.
+
+        The log may write older evidence after newer one.
+        """
+        known = self._others.get(evidence.instance)
+        if known is None or known.elapsed_s <= evidence.elapsed_s:
+            self._others[evidence.instance] = evidence
 
     def get_own(self, side):
         """Return this instance's counts of a side."""
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -441,3 +441,15 @@
     assert len(kept) > 80
     rollouts.rejected.add(('s', 'v2'))
     assert rollouts.select('s', [new], keys[0], live=[new]) == []
+
+
+# Evidence that the log writes late must not replace newer evidence.
+def test_older_evidence_of_an_instance_changes_nothing():
+    counts = comparison.Comparison()
+    for elapsed_s, trials in ((2.0, 5), (6.0, 20), (3.0, 9)):
+        counts.merge(
+            rollout_records.Evidence(
+                7, 's', 'i', {'error': (1, trials)}, {}, elapsed_s
+            )
+        )
+    assert counts.sum_counts('new', 'error', 'other') == (1, 20)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -457,3 +457,68 @@
     directory.apply(make_entry('i-1', born=5, sequence=3))
     assert directory.is_outdated(make_entry('i-1', born=4, sequence=9))
     assert not directory.is_outdated(make_entry('i-1', born=5, sequence=3))
+
+
+# A server may start again under its name with a clock that runs behind. Its
+# entries look older than those of the process before.
+def test_server_whose_clock_runs_behind_is_used_after_a_while():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.remove('i-1')
+    for number in range(10):
+        directory.hold_back(make_entry('i-1', 4, number), 10.0)
+        directory.apply_deferred()
+        assert 'i-1' not in directory.servers
+        clock.time += 1.0
+    directory.apply_deferred()
+    assert directory.servers['i-1'].entry.born == 4
+
+
+# The same where the process before is still listed, at another address.
+def test_server_behind_its_own_time_replaces_the_process_before():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.hold_back(make_entry('i-1', 4, 1), 10.0)
+    clock.time += 10.0
+    directory.apply_deferred()
+    assert directory.servers['i-1'].entry.born == 4
+
+
+def test_server_that_goes_on_is_not_replaced_by_an_old_entry():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.hold_back(make_entry('i-1', 4, 1), 10.0)
+    directory.apply(make_entry('i-1', born=5, sequence=4))
+    clock.time += 10.0
+    directory.apply_deferred()
+    assert directory.servers['i-1'].entry.sequence == 4
+
+
+# A late entry of a server that is to be removed after an outage.
+def test_old_entry_does_not_cancel_a_deferred_removal():
+    clock = Clock()
+    directory = servers.Directory(clock)
+    directory.apply(make_entry('i-1', born=5, sequence=3))
+    directory.defer_removals(2.0)
+    directory.remove('i-1')
+    directory.hold_back(make_entry('i-1', 5, 2), 10.0)
+    clock.time += 2.1
+    directory.apply_deferred()
+    assert not directory.servers
+
+
+def test_entry_of_an_unknown_server_is_confirmed_by_a_newer_one():
+    directory = servers.Directory(Clock())
+    late = make_entry('i-1', born=5, sequence=7)
+    assert not directory.is_unconfirmed(late)  # There is no other server.
+    directory.apply(make_entry('i-2', born=5, sequence=1))
+    assert not directory.is_unconfirmed(make_entry('i-1', 5, 1))
+    assert directory.is_unconfirmed(late)
+    directory.hold_back(late, 10.0)
+    assert directory.is_unconfirmed(late)
+    assert not directory.is_unconfirmed(make_entry('i-1', 5, 8))
+    directory.defer_removals(2.0)
+    assert not directory.is_unconfirmed(late)
