Own interface: a slow read of the instance list replaces no newer one

What is missing: a response that arrives after that of a read which began later brought an instance back that had gone, until the next read.

Cause: reads overlap when one is slow; the last response was applied.

Evidence: tests/test_instance_list.py fails without the change.

Change: a response is dropped if a read that began later was applied.

--- a/arbutuschute/instance_list.py
+++ b/arbutuschute/instance_list.py
@@ -11,12 +11,14 @@
 class InstanceListPoller:
     """Reads the list, sends changes to zone peers and applies theirs."""
 
-    __slots__ = ('_environment', '_next_read', '_spawn')
+    __slots__ = ('_applied_from', '_environment', '_next_read', '_spawn')
 
     def __init__(self, environment, spawn):
         self._environment = environment
         self._spawn = spawn
         self._next_read = None
+        # When the read began that was applied last.
+        self._applied_from = float('-inf')
 
     def schedule(self):
         """Schedule the next read, after a time that grows with the list.
@@ -46,6 +48,7 @@
     async def read(self):
         """Read the platform's instance list and apply it if that succeeds."""
         environment = self._environment
+        began = environment.timer.now()
         answer = await instances.fetch_instances(
             environment.http,
             environment.settings.platform.instances,
@@ -55,6 +58,9 @@
         if listed is None:
             environment.metrics.count('instances.failed')
             return
+        if began < self._applied_from:
+            return  # A read that began later was faster.
+        self._applied_from = began
         known = environment.fleet.instances
         self._send_changes(known, {entry.name: entry for entry in listed})
         self._apply(listed)
