--- a/arbutuschute/instance.py
+++ b/arbutuschute/instance.py
@@ -207,14 +207,9 @@
         self.environment.table = table
         self._log.info('configuration', version=table.version)
 
-    def _apply_order(self, order):
-        self.environment.rollouts.apply_order(
-            order, len(self.environment.directory.find(order.service))
-        )
+    def _apply_order(self, order, is_new):
+        self.rollout_task.apply_order(order, is_new)
         self.session_lists.handle_order()
-        self._log.info(
-            'rollout ordered', service=order.service, version=order.version
-        )
 
     async def run(self):
         """Serve until a stop is requested, then stop gracefully."""
--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -56,12 +56,15 @@
         'failure_rate',
         'failures_in_row',
         'last_heard_at',
+        'listed_at',
         'queue_delays',
         'slowness',
     )
 
-    def __init__(self, entry):
+    def __init__(self, entry, now=float('-inf')):
         super().__init__(entry)
+        # When this process of the server was first listed.
+        self.listed_at = now
         self.load.slots = entry.slots
         self._cold_until_by_entry = float('-inf')
         self._cold_until_by_head = float('-inf')
@@ -209,7 +212,7 @@
         if known and is_same_process(known.entry, entry):
             known.update(entry)
         else:
-            known = self.servers[entry.name] = Server(entry)
+            known = self.servers[entry.name] = Server(entry, self._now())
             self._index()
         known.record_cold_entry(self._now())
 
@@ -262,6 +265,15 @@
         """Return the servers of a service, open or not."""
         return self.by_service.get(service, ())
 
+    def find_versions(self, service, seconds=0.0):
+        """Return the versions whose servers were listed for ``seconds``."""
+        since = self._now() - seconds
+        return {
+            server.entry.version
+            for server in self.find(service)
+            if server.listed_at <= since
+        }
+
 
 def is_same_process(known, entry):
     """Return whether two entries are of one incarnation of a server."""
--- a/arbutuschute/platform/followers.py
+++ b/arbutuschute/platform/followers.py
@@ -105,7 +105,8 @@
             self._pending_tables.append(record)
         elif record.key.startswith(configuration.ROLLOUT_PREFIX):
             self._apply_order(
-                configuration.decode_order(record.value, record.offset)
+                configuration.decode_order(record.value, record.offset),
+                is_new=not self._topic.is_snapshot,
             )
         elif self._evacuations is not None and record.key.startswith(
             evacuations.PREFIX
--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -17,6 +17,9 @@
 EVIDENCE_PERIOD_S = 4.0
 # The writer of a final step may die before it has written the status.
 STATUS_TAKEOVER_S = 1.0
+# Servers that are listed for this long were there before an order that is read
+# now, however late it is read.
+SETTLED_S = 10.0
 # Evidence of others may be appended between the read and the step, many times
 # a second while a new version fails.
 MAX_STEP_ATTEMPTS = 8
@@ -46,6 +49,29 @@
             read_limits=read_limits,
         )  # fmt: skip
 
+    def apply_order(self, order, is_new=True):
+        """Apply an operator's order.
+
+        Without ``is_new`` it was read at a start and may be an old one: its
+        servers may have been listed for long. Those of a new one may be listed
+        before it is read, but not for long.
+        """
+        settled_s = SETTLED_S if is_new else float('inf')
+        self._rollouts.apply_order(
+            order,
+            len(self._directory.find(order.service)),
+            self._directory.find_versions(order.service),
+            self._directory.find_versions(order.service, settled_s),
+        )
+        serving = self._rollouts.by_service[order.service].serving
+        self._log.info(
+            'rollout ordered',
+            service=order.service,
+            version=order.version,
+            served=serving.versions,
+            set_aside=serving.set_aside,
+        )
+
     def _apply(self, record):
         found = rollout_records.decode(record.value)
         rollout = self._rollouts.apply(found, self._find_age_s(found))
@@ -107,6 +133,7 @@
                 self._identity,
                 self._timer.now(),
                 self._is_old_version_idle(rollout),
+                self._has_old_version(rollout),
             )
             if step is None or await self._put_step(rollout, step):
                 break
@@ -120,6 +147,13 @@
             if server.entry.version != rollout.order.version
         )
 
+    def _has_old_version(self, rollout):
+        return any(
+            server.entry.version != rollout.order.version
+            and not rollout.is_set_aside(server.entry.version)
+            for server in self._directory.find(rollout.order.service)
+        )
+
     async def _put_evidence(self, rollout):
         now = self._timer.now()
         evidence = rollout.make_evidence(self._identity, now)
--- a/arbutuschute/platform/session_lists.py
+++ b/arbutuschute/platform/session_lists.py
@@ -79,7 +79,7 @@
                 continue
             ahead = [
                 min(at - now, CHECK_PERIOD_S)
-                for at in (rollout.lists_at, rollout.begins_at)
+                for at in rollout.listing_times
                 if at > now
             ]
             pauses.append(min(ahead, default=REPEAT_S))
@@ -90,7 +90,7 @@
         now = self._timer.now()
         is_written = True
         for rollout in list(self._rollouts.by_service.values()):
-            if now < rollout.lists_at:
+            if now < rollout.listing_times[0]:
                 continue
             record = self._rollouts.list_sessions(rollout)
             if record is None:
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -8,6 +8,7 @@
 from arbutuschute.policy import baseline
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import sessions
+from arbutuschute.policy import version_choice
 from arbutuschute.zones import rendezvous
 
 # Servers of the old version up to which the first share is that large; with
@@ -71,11 +72,13 @@
         """Note that a request has ended."""
         self._memory.end((service, key))
 
-    def apply_order(self, order, servers=0):
+    def apply_order(self, order, servers=0, listed=(), settled=()):
         """Apply an operator's order, unless it or a newer one is known.
 
         ``servers`` is the number of the service's servers. The first share
-        of the instance that announces the roll-out holds for all.
+        of the instance that announces the roll-out holds for all. ``listed``
+        are the versions that have servers, ``settled`` those that had some
+        long before the order came, () if that isn't known.
         """
         known = self.by_service.get(order.service)
         if known is not None and not known.is_in_log:
@@ -90,7 +93,7 @@
         if known is not None:
             self._replaced.add(known.order.content)
         self._replaced.discard(order.content)
-        self._begin(order, servers)
+        self._begin(order, servers, listed, settled)
 
     def begin_era(self):
         """Start to compare with a log that was restored from an older copy.
@@ -101,14 +104,29 @@
         for rollout in self.by_service.values():
             rollout.begin_era()
 
-    def _begin(self, order, servers):
+    def _begin(self, order, servers, listed, settled):
         # Imported at the first order, so that no start waits for it.
         from arbutuschute.policy import rollout_state
 
-        share = compute_first_share(servers)
-        self.by_service[order.service] = rollout_state.Rollout(
-            order, self._now(), share
+        known = self.by_service.get(order.service)
+        if known is None:
+            served = set(settled) - {order.version}
+            serving = rollout_records.Serving(tuple(sorted(served)))
+        else:
+            serving = version_choice.follow(
+                known.serving, known.order.version, known.phase, listed,
+                order.version,
+            )  # fmt: skip
+        made = rollout_state.Rollout(
+            order, self._now(), compute_first_share(servers), serving
         )
+        if (
+            known is not None
+            and known.phase is rollout_records.Phase.RUNNING
+            and known.order.version == order.version
+        ):
+            made.resume(known)
+        self.by_service[order.service] = made
         self.rejected.discard((order.service, order.version))
         self._apply_pending(order.service)
         for record in self._stop_records.values():
@@ -139,6 +157,7 @@
             )
             return None
         if rollout.order.offset != record.order:
+            self._apply_replaced(rollout, record)
             return None
         if isinstance(record, rollout_records.Sessions):
             rollout.lists.apply(record, record.instance == self._name)
@@ -148,6 +167,21 @@
             self.rejected.add((record.service, rollout.order.version))
         return rollout
 
+    def _apply_replaced(self, rollout, record):
+        """Learn what served from a step of the order before.
+
+        This instance has started since, and can't read that order any more.
+        """
+        if not isinstance(record, rollout_records.Step) or not record.version:
+            return
+        found = version_choice.follow(
+            record.serving, record.version, record.phase, (),
+            rollout.order.version,
+        )  # fmt: skip
+        rollout.serving = version_choice.merge(
+            rollout.serving, found, rollout.order.version
+        )
+
     def _apply_stop_record(self, record):
         """Add the sessions of an instance that stopped to its roll-out's."""
         rollout = self.by_service.get(record.service)
@@ -168,17 +202,16 @@
         service = rollout.order.service
         if not rollout.is_in_log or not rollout.is_before_ramp(self._now()):
             return None
-        # The instance that announces the order may give it a smaller share.
-        share = (
-            rollout.first_share
-            if rollout.is_announced
-            else rollout_records.SHARES[0]
-        )
+        choice = rollout.make_choice(self._now())
         found = {
             session: version
             for session, version in self._memory.find_all(service).items()
-            if version != rollout.order.version
-            and _compute_position(rollout.order, session) < share
+            if choice.classify(version) is version_choice.Group.SET_ASIDE
+            or (
+                choice.classify(version) is version_choice.Group.OLD
+                and _compute_position(rollout.order, session)
+                < rollout.largest_first_share
+            )
         }
         if not rollout.lists.add(service, found):
             return None
@@ -230,6 +263,8 @@
             rollout.record_pace(entry.version, ratio, self._now())
             if entry.version == rollout.order.version:
                 return
+        if rollout is not None and rollout.is_set_aside(entry.version):
+            return
         if (entry.service, entry.version) not in self.rejected:
             self._baseline.add(key, seconds)
 
@@ -239,42 +274,21 @@
         ``live`` are all of the service's, ``servers`` those to choose from. A
         share that no live server can serve does not count.
         """
-        usable = [
-            server
-            for server in servers
-            if (service, server.entry.version) not in self.rejected
-        ]
-        rollout = self.by_service.get(service)
-        uses_new = self._uses_new(rollout, service, key)
-        if (
-            rollout is None
-            or rollout.phase is rollout_records.Phase.ROLLED_BACK
-        ):
-            return usable
-        version = rollout.order.version
-        chosen = [
-            s for s in usable if (s.entry.version == version) == uses_new
-        ]
-        if not chosen and (
-            uses_new or {s.entry.version for s in live} == {version}
-        ):
-            return usable
-        return chosen
 
-    def _uses_new(self, rollout, service, key):
-        """Return whether a key's requests go to the roll-out's new version.
+        def is_usable(server):
+            return (service, server.entry.version) not in self.rejected
 
-        The first share takes new sessions only. Sessions that this or another
-        instance has seen on another version stay there.
-        """
+        usable = [server for server in servers if is_usable(server)]
+        rollout = self.by_service.get(service)
         if rollout is None:
-            return False
-        share = rollout.get_share(self._now())
-        if _compute_position(rollout.order, key) >= share:
-            return False
-        if share > rollout.first_share:
-            return True
-        seen = self._memory.find((service, key))
-        if seen is None:
-            seen = rollout.lists.find(service, key)
-        return seen in (None, rollout.order.version)
+            return usable
+        choice = rollout.make_choice(self._now())
+        position, seen = 0.0, None
+        if rollout.phase is rollout_records.Phase.RUNNING:
+            position = _compute_position(rollout.order, key)
+            seen = self._memory.find((service, key))
+            if seen is None:
+                seen = rollout.lists.find(service, key)
+        return choice.select(
+            usable, [s for s in live if is_usable(s)], position, seen
+        )
--- a/arbutuschute/policy/rollout_records.py
+++ b/arbutuschute/policy/rollout_records.py
@@ -41,10 +41,25 @@
         return self.service, self.version, self.duration_s
 
 
+class Serving(msgspec.Struct, frozen=True):
+    """The versions of a service when an order came.
+
+    ``versions`` served it, () if that isn't known. ``set_aside`` are those of
+    earlier orders that were never completed.
+    """
+
+    versions: tuple[str, ...] = ()
+    set_aside: tuple[str, ...] = ()
+
+
+UNKNOWN_SERVING = Serving()
+
+
 class Step(msgspec.Struct, frozen=True, tag='step'):
     """A record that a roll-out has reached a share or its end.
 
-    ``written_at`` is in Unix seconds, 0 if it is not known.
+    ``written_at`` is in Unix seconds, 0 if it is not known. ``version`` is
+    the one ordered, '' in records of older builds.
     """
 
     order: int
@@ -54,6 +69,8 @@
     elapsed_s: _Seconds
     first_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = SHARES[0]
     written_at: float = 0.0
+    version: str = ''
+    serving: Serving = UNKNOWN_SERVING
 
 
 class Evidence(msgspec.Struct, frozen=True, tag='evidence'):
--- a/arbutuschute/policy/rollout_state.py
+++ b/arbutuschute/policy/rollout_state.py
@@ -3,6 +3,7 @@
 from arbutuschute.policy import comparison
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import sessions
+from arbutuschute.policy import version_choice
 
 # Servers of the new version start with the order. After this time every
 # instance lists them, so all begin together and no session switches versions
@@ -35,12 +36,15 @@
         'number',
         'order',
         'phase',
+        'serving',
         'started_at',
     )
 
-    def __init__(self, order, now, first_share=rollout_records.SHARES[0]):
+    def __init__(self, order, now, first_share=rollout_records.SHARES[0],
+                 serving=rollout_records.UNKNOWN_SERVING):  # fmt: skip
         self.order = order
         self.first_share = first_share
+        self.serving = serving
         self.phase = rollout_records.Phase.RUNNING
         self.number = 0
         self.started_at = now
@@ -55,8 +59,29 @@
         self.comparison = comparison.Comparison()
         self.lists = sessions.SessionLists()
 
+    def resume(self, before):
+        """Go on with the roll-out of an order of the same version."""
+        self.first_share = before.first_share
+        self.serving = before.serving
+        self.number = before.number
+        self.started_at = before.started_at
+        self._effect_after_s = before._effect_after_s
+        self.comparison = before.comparison
+        self.lists = before.lists
+        self.lists.begin_era()  # They are of the order before in the log.
+
+    @property
+    def is_return(self):
+        """Whether the order is for a version that has served all the time.
+
+        It takes an earlier order back, and there is nothing to be tried.
+        """
+        return self.order.version in self.serving.versions
+
     @property
     def _begin_s(self):
+        if self.is_return:
+            return 0.0
         return min(BEGIN_AFTER_S, MAX_BEGIN_SHARE * self.order.duration_s)
 
     @property
@@ -65,18 +90,49 @@
         return self.started_at + self._begin_s
 
     @property
-    def lists_at(self):
-        """When instances list the sessions that have begun before.
+    def listing_times(self):
+        """When instances list their sessions, in order.
 
         Every instance has read the lists when the first step takes effect.
+        Sessions of a version that was set aside are unknown to others from
+        the order on.
         """
-        return max(self.started_at, self.begins_at - EFFECT_DELAY_S)
+        times = {
+            max(self.started_at, self.begins_at - EFFECT_DELAY_S),
+            self.begins_at,
+        }
+        if self.serving.set_aside:
+            times.add(self.started_at)
+        return sorted(times)
 
     def is_before_ramp(self, now):
         """Return whether sessions may not move to the new version yet."""
-        return (
-            self.phase is rollout_records.Phase.RUNNING
-            and not self.find_step(now)
+        if self.phase is not rollout_records.Phase.RUNNING:
+            return False
+        if self.is_return:
+            return now - self.started_at < RAMP_FROM * self.order.duration_s
+        return not self.find_step(now)
+
+    @property
+    def largest_first_share(self):
+        """The largest share that the first step may have.
+
+        The instance that announces the order may give it a smaller one.
+        """
+        if self.is_return:
+            return 1.0
+        if self.is_announced:
+            return self.first_share
+        return rollout_records.SHARES[0]
+
+    def make_choice(self, now):
+        """Return the ``Choice`` of versions at ``now``."""
+        return version_choice.Choice(
+            self.order.version,
+            self.serving,
+            self.get_share(now),
+            self.first_share,
+            self.is_before_ramp(now),
         )
 
     @property
@@ -104,7 +160,7 @@
         """Return the new version's share of sessions at ``now``."""
         if self.phase is rollout_records.Phase.ROLLED_BACK:
             return 0.0
-        if self.phase is rollout_records.Phase.COMPLETED:
+        if self.phase is rollout_records.Phase.COMPLETED or self.is_return:
             return 1.0
         number = self.find_step(now)
         if number is None:
@@ -140,8 +196,15 @@
             return
         if self._is_behind(record):
             return
-        self.is_announced = True
         self.first_share = record.first_share
+        self.serving = version_choice.merge(
+            self.serving, record.serving, self.order.version
+        )
+        # What this instance knows beyond that is announced as well.
+        self.is_announced = (
+            self.serving == record.serving
+            or record.phase is not rollout_records.Phase.RUNNING
+        )
         if self.phase is record.phase is not rollout_records.Phase.RUNNING:
             return
         self.phase = record.phase
@@ -164,7 +227,9 @@
 
     def record(self, version, signal, failed):
         """Record one outcome that this instance observed."""
-        self.comparison.record(self._find_side(version), signal, failed)
+        side = self._find_side(version)
+        if side is not None:
+            self.comparison.record(side, signal, failed)
 
     def record_pace(self, version, ratio, now):
         """Record a time as a multiple of the old version's, None if unknown.
@@ -174,9 +239,17 @@
         step = self.find_step(now)
         if ratio is not None and step in comparison.COMPARED_STEPS:
             side = self._find_side(version)
-            self.comparison.record_pace(side, step, ratio)
+            if side is not None:
+                self.comparison.record_pace(side, step, ratio)
+
+    def is_set_aside(self, version):
+        """Return whether a version is of an earlier, replaced order."""
+        return version in self.serving.set_aside
 
     def _find_side(self, version):
+        """Return the side of a version, None if it was set aside."""
+        if self.is_set_aside(version):
+            return None
         return 'new' if version == self.order.version else 'old'
 
     def make_evidence(self, instance, now):
@@ -190,31 +263,43 @@
             now - self.started_at,
         )
 
-    def decide(self, instance, now, old_idle):
+    def decide(self, instance, now, old_idle, has_old=True):
         """Return the next ``Step`` if it is due, or None.
 
-        ``old_idle`` is whether this instance has nothing in flight at the
-        old version.
+        ``old_idle`` is whether this instance has nothing in flight at another
+        version, ``has_old`` whether there is one to go back to.
         """
         elapsed = now - self.started_at
         if not self.is_announced:
             return self._make_step(self.number, self.phase, elapsed)
         if self.phase is not rollout_records.Phase.RUNNING:
             return None
+        if self.is_return:
+            return self._decide_return(elapsed, old_idle)
         if self.comparison.is_bad(instance):
             return self._make_step(
                 self.number, rollout_records.Phase.ROLLED_BACK, elapsed
             )
-        duration = self.order.duration_s
-        if elapsed < RAMP_FROM * duration:
+        if elapsed < RAMP_FROM * self.order.duration_s:
             return None
         is_last_step = self.number + 1 == len(rollout_records.SHARES)
         if not self.comparison.may_advance(instance, is_last_step):
-            if elapsed < END_BY * duration:
-                return None
-            return self._make_step(
-                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
-            )
+            return self._decide_without_trials(elapsed, has_old)
+        return self._decide_advance(now, elapsed, old_idle)
+
+    def _decide_without_trials(self, elapsed, has_old):
+        """Decide on a version that was not tried enough, or is a suspect."""
+        if elapsed < END_BY * self.order.duration_s:
+            return None
+        phase = (
+            rollout_records.Phase.ROLLED_BACK
+            if has_old
+            else rollout_records.Phase.COMPLETED
+        )
+        return self._make_step(self.number, phase, elapsed)
+
+    def _decide_advance(self, now, elapsed, old_idle):
+        duration = self.order.duration_s
         if now - self.stepped_at < STEP_TIME * duration:
             return None
         if self.number + 1 < len(rollout_records.SHARES):
@@ -227,6 +312,16 @@
             )
         return None
 
+    def _decide_return(self, elapsed, old_idle):
+        """Complete a return once the sessions of other versions have moved."""
+        duration = self.order.duration_s
+        is_left = old_idle and elapsed >= (RAMP_FROM + STEP_TIME) * duration
+        if not is_left and elapsed < END_BY * duration:
+            return None
+        return self._make_step(
+            self.number, rollout_records.Phase.COMPLETED, elapsed
+        )
+
     def _make_step(self, number, phase, elapsed):
         return rollout_records.Step(
             self.order.offset,
@@ -235,4 +330,6 @@
             phase,
             elapsed,
             self.first_share,
+            version=self.order.version,
+            serving=self.serving,
         )
--- a/tests/test_session_lists.py
+++ b/tests/test_session_lists.py
@@ -106,6 +106,11 @@
     fleet.order()
     fleet.list_sessions('a', to='b')
     fleet.clock.time += 30.0
+    ended = rollout_records.Step(
+        7, 's', 0, rollout_records.Phase.ROLLED_BACK, 30.0
+    )
+    for one in fleet.instances.values():
+        one.apply(ended)
     fleet.order(rollout_records.Order('s', 'v2', 24.0, 9))
     fleet.clock.time += 4.0
     assert fleet.serve('b', session) == 'v2'
