Never let a topic go back to older records within an era (DRAIN)

Cause: a position that the store had turned away (410) was forgotten, so that the next read took the newest records of the zone's reader like a start does, from before the removal. As these had expired too, it did so again every 4 ms.

Change: one module decides what may be applied, for the reader and the store: nothing that ends before what is known, in its era, and no record of a key after a newer one. A stale answer of the store is a failed read. A read that brings nothing has a pause. A step of a roll-out is never written without its condition.

What an order knows of the versions before it moves to rollout_state.py, which the first order imports.

--- a/arbutuschute/platform/rollouts.py
+++ b/arbutuschute/platform/rollouts.py
@@ -188,6 +188,8 @@
 
         Return whether it was written.
         """
+        if self._topic.position is None:
+            return False  # Without a condition, a step could follow any other.
         key = f'step/{step.service}'
         is_first = not rollout.is_announced
         step = msgspec.structs.replace(step, written_at=self._timer.wall())
--- a/arbutuschute/platform/topics.py
+++ b/arbutuschute/platform/topics.py
@@ -5,6 +5,7 @@
 
 from arbutuschute import errors
 from arbutuschute import logs
+from arbutuschute.platform import known_records
 from arbutuschute.platform import store as store_module
 
 # In an outage of the store the zone's reader retries it in this period, and
@@ -16,6 +17,8 @@
 ALONE_PERIOD_S = 1.0
 # A slow store names the zone's readers within this time.
 KNOWN_WAIT_S = 1.0
+# After a read that brought nothing and has not waited.
+IDLE_PAUSE_S = 0.05
 
 
 def _ignore(_):
@@ -42,11 +45,10 @@
     """
 
     __slots__ = ('_apply', '_begin_era', '_failed_reads', '_failing_since',
-                 '_keep_only', '_least_era', '_log', '_newest', '_read_limits',
-                 '_remove', '_store', '_timer', '_topic', '_tried_at',
-                 '_was_long_poll',
-                 '_zone_reader', 'confirmed_at', 'era', 'failing',
-                 'is_restored', 'is_snapshot', 'position')  # fmt: skip
+                 '_keep_only', '_known', '_log', '_read_limits', '_remove',
+                 '_store', '_timer', '_topic', '_tried_at', '_was_long_poll',
+                 '_zone_reader', 'confirmed_at', 'failing', 'is_restored',
+                 'is_snapshot', 'position')  # fmt: skip
 
     def __init__(self, store, timer, topic, log, apply, remove=_ignore,
                  keep_only=_ignore, zone_reader=None, read_limits=None,
@@ -61,14 +63,10 @@
         self._begin_era = begin_era
         self._zone_reader = zone_reader
         self._read_limits = read_limits
-        # The offset to read next, and the era that it belongs to.
+        self._known = known_records.KnownRecords(timer.now)
+        # The offset to read next, None to read the newest records.
         self.position = None
-        self.era = None
-        # Records of an earlier era than this one are gone.
-        self._least_era = store_module.NO_ERA
         self.is_restored = self.is_snapshot = False
-        # Each key's newest (offset, value).
-        self._newest = {}
         self.failing = False
         # When the newest read began.
         self._tried_at = float('-inf')
@@ -80,9 +78,14 @@
         # When the store last had nothing newer than what has been read.
         self.confirmed_at = float('-inf')
 
+    @property
+    def era(self):
+        """The era of what was read, None before the first read."""
+        return self._known.era
+
     def has_key(self, key):
         """Return whether there is a record with this key."""
-        return key in self._newest
+        return key in self._known.newest
 
     async def read(self, wait_s=0.0, is_direct=False):
         """Read once; return ``Result`` with whether all records were read.
@@ -91,6 +94,7 @@
         the zone's reader.
         """
         answer = None
+        before = self.era, self.position
         self._tried_at = self._timer.now()
         if self.position is not None:
             answer = await self._read_next(wait_s, is_direct)
@@ -100,11 +104,13 @@
         if self._zone_reader is not None and self.position is not None:
             self._zone_reader.share_newest(
                 self._topic,
-                self._newest,
+                self._known.newest,
                 self.position,
                 self.confirmed_at,
                 self.era,
             )
+        if not answer.value_or(True) and before == (self.era, self.position):
+            await self._timer.sleep(IDLE_PAUSE_S)
         return answer
 
     async def wait(self, period_s):
@@ -132,30 +138,58 @@
     async def _read_newest(self):
         """Read the newest record of each key, from the zone's reader if any.
 
-        What the reader has may be old: then new records are to be read next.
+        At a start, what the reader has may be old: then new records are to be
+        read next.
         """
         snapshot = await self._fetch_snapshot()
         if snapshot is not None:
             return self._accept_snapshot(
                 snapshot, snapshot.confirmed_at, 'zone reader'
             )
+        reader = self._zone_reader
+        if self._known.end is not None and not (
+            reader is None or reader.may_read_directly()
+        ):
+            return result.Failure(errors.StoreDown('left to the reader'))
         requested_at = self._timer.now()
         answer = await self._store.read_newest(self._topic)
         if isinstance(answer, result.Failure):
             self._record_failed_call()
             return answer
         snapshot = answer.unwrap()
+        if not self._known.check_store(snapshot.era, snapshot.end):
+            self._log.warning(
+                'store has less than is known',
+                topic=self._topic,
+                end=snapshot.end,
+                known_end=self._known.end,
+                era=snapshot.era,
+            )
+            return result.Failure(errors.StoreDown('stale response'))
         self._share_records(snapshot.end, (), requested_at, snapshot.era)
         return self._accept_snapshot(snapshot, requested_at, 'store')
 
     async def _fetch_snapshot(self):
-        """Return the zone reader's ``Snapshot``; None to read the store."""
+        """Return the zone reader's ``Snapshot``; None to read the store.
+
+        The store has turned the position away, if there was one, so records
+        that end there are of no use.
+        """
         if self._zone_reader is None:
             return None
         if not self.failing:
             await self._zone_reader.wait_until_known(KNOWN_WAIT_S)
         snapshot = await self._zone_reader.read_newest(self._topic)
-        if snapshot is None or snapshot.era < self._least_era:
+        if snapshot is None:
+            return None
+        if not self._known.has_news(snapshot.era, snapshot.end):
+            self._log.info(
+                'zone reader has nothing newer',
+                topic=self._topic,
+                end=snapshot.end,
+                known_end=self._known.end,
+                era=snapshot.era,
+            )
             return None
         return snapshot
 
@@ -177,19 +211,18 @@
         return result.Success(limits is None or age_s <= limits.max_age_s)
 
     def _apply_snapshot(self, snapshot):
-        if self.era is not None and snapshot.era > self.era:
+        self.is_snapshot = True
+        if self._known.is_restored(snapshot.era, snapshot.end):
             self.is_restored = True
             self._begin_era()
-        self.is_snapshot = True
-        self.era = self._least_era = snapshot.era
-        self._newest = {}
+        self._known.begin(snapshot.era)
         for record in sorted(snapshot.records, key=lambda r: r.offset):
             self._apply_record(record)
         # Records that the pages lack are read next, from ``end`` on.
         self._keep_only(
             {r.key for r in snapshot.records if r.value is not None}
         )
-        self.position = snapshot.end
+        self.position = self._known.end = snapshot.end
         self._was_long_poll = False
         self.is_restored = self.is_snapshot = False
 
@@ -232,11 +265,11 @@
         A peer that is cut off from the store, too, would give the same one
         again and again.
         """
-        known = self.era, self.position
-        found = snapshot.era, snapshot.end
         age_s = self._timer.now() - snapshot.confirmed_at
-        return found > known or (
-            found == known and age_s <= self._read_limits.max_age_s
+        found = snapshot.era, snapshot.end
+        return self._known.has_news(*found) or (
+            self._known.is_same(*found)
+            and age_s <= self._read_limits.max_age_s
         )
 
     def _limit_wait(self, wait_s):
@@ -261,7 +294,7 @@
             return answer
         page = answer.unwrap()
         if page.era != self.era:
-            self._least_era = max(self._least_era, page.era)
+            self._known.observe_era(page.era)
             self._drop_position('position of another era', era=page.era)
             return result.Failure(errors.StoreRestored(page.era))
         if page.next >= page.end:
@@ -299,14 +332,14 @@
             record = store_module.split_keyed(raw, page.start + number)
             if record is not None:
                 self._apply_record(record)
-        self.position = page.next
+        self.position = self._known.end = page.next
 
     def _apply_record(self, record):
+        if not self._known.add(record):
+            return
         if record.value is None:
-            self._newest.pop(record.key, None)
             self._remove(record.key)
             return
-        self._newest[record.key] = record.offset, record.value
         try:
             self._apply(record)
         except msgspec.DecodeError as error:
--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -8,8 +8,6 @@
 from arbutuschute.policy import baseline
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import sessions
-from arbutuschute.policy import version_choice
-from arbutuschute.zones import rendezvous
 
 # Servers of the old version up to which the first share is that large; with
 # more it shrinks. More servers mean more requests. The trials that a decision
@@ -25,13 +23,6 @@
     )
 
 
-def _compute_position(order, session):
-    """Return where a session lies in an order's shares, from 0 to 1."""
-    return rendezvous.hash_to_unit_interval(
-        f'{order.service}/{order.version}/{session}'
-    )
-
-
 class Rollouts:
     """The newest order of each service, and the rejected versions."""
 
@@ -108,24 +99,14 @@
         # Imported at the first order, so that no start waits for it.
         from arbutuschute.policy import rollout_state
 
+        share = compute_first_share(servers)
         known = self.by_service.get(order.service)
         if known is None:
-            served = set(settled) - {order.version}
-            serving = rollout_records.Serving(tuple(sorted(served)))
+            made = rollout_state.begin(order, self._now(), share, settled)
         else:
-            serving = version_choice.follow(
-                known.serving, known.order.version, known.phase, listed,
-                order.version,
-            )  # fmt: skip
-        made = rollout_state.Rollout(
-            order, self._now(), compute_first_share(servers), serving
-        )
-        if (
-            known is not None
-            and known.phase is rollout_records.Phase.RUNNING
-            and known.order.version == order.version
-        ):
-            made.resume(known)
+            made = rollout_state.follow(
+                known, order, self._now(), share, listed
+            )
         self.by_service[order.service] = made
         self.rejected.discard((order.service, order.version))
         self._apply_pending(order.service)
@@ -157,7 +138,8 @@
             )
             return None
         if rollout.order.offset != record.order:
-            self._apply_replaced(rollout, record)
+            if isinstance(record, rollout_records.Step):
+                rollout.apply_replaced(record)
             return None
         if isinstance(record, rollout_records.Sessions):
             rollout.lists.apply(record, record.instance == self._name)
@@ -167,21 +149,6 @@
             self.rejected.add((record.service, rollout.order.version))
         return rollout
 
-    def _apply_replaced(self, rollout, record):
-        """Learn what served from a step of the order before.
-
-        This instance has started since, and can't read that order any more.
-        """
-        if not isinstance(record, rollout_records.Step) or not record.version:
-            return
-        found = version_choice.follow(
-            record.serving, record.version, record.phase, (),
-            rollout.order.version,
-        )  # fmt: skip
-        rollout.serving = version_choice.merge(
-            rollout.serving, found, rollout.order.version
-        )
-
     def _apply_stop_record(self, record):
         """Add the sessions of an instance that stopped to its roll-out's."""
         rollout = self.by_service.get(record.service)
@@ -202,17 +169,7 @@
         service = rollout.order.service
         if not rollout.is_in_log or not rollout.is_before_ramp(self._now()):
             return None
-        choice = rollout.make_choice(self._now())
-        found = {
-            session: version
-            for session, version in self._memory.find_all(service).items()
-            if choice.classify(version) is version_choice.Group.SET_ASIDE
-            or (
-                choice.classify(version) is version_choice.Group.OLD
-                and _compute_position(rollout.order, session)
-                < rollout.largest_first_share
-            )
-        }
+        found = rollout.find_movable(self._memory.find_all(service))
         if not rollout.lists.add(service, found):
             return None
         return rollout.lists.make_record(
@@ -285,7 +242,7 @@
         choice = rollout.make_choice(self._now())
         position, seen = 0.0, None
         if rollout.phase is rollout_records.Phase.RUNNING:
-            position = _compute_position(rollout.order, key)
+            position = rollout.find_position(key)
             seen = self._memory.find((service, key))
             if seen is None:
                 seen = rollout.lists.find(service, key)
--- a/arbutuschute/policy/rollout_state.py
+++ b/arbutuschute/policy/rollout_state.py
@@ -4,6 +4,7 @@
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import sessions
 from arbutuschute.policy import version_choice
+from arbutuschute.zones import rendezvous
 
 # Servers of the new version start with the order. After this time every
 # instance lists them, so all begin together and no session switches versions
@@ -125,6 +126,27 @@
             return self.first_share
         return rollout_records.SHARES[0]
 
+    def find_position(self, session):
+        """Return where a session lies in the shares, from 0 to 1."""
+        return rendezvous.hash_to_unit_interval(
+            f'{self.order.service}/{self.order.version}/{session}'
+        )
+
+    def find_movable(self, versions):
+        """Return those of {session: version} that the first step may move.
+
+        At an instance that doesn't know them, that is.
+        """
+        return {
+            session: version
+            for session, version in versions.items()
+            if self.is_set_aside(version)
+            or (
+                version != self.order.version
+                and self.find_position(session) < self.largest_first_share
+            )
+        }
+
     def make_choice(self, now):
         """Return the ``Choice`` of versions at ``now``."""
         return version_choice.Choice(
@@ -213,6 +235,19 @@
             self.number = record.number
             self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
 
+    def apply_replaced(self, step):
+        """Learn what served from a step of the order before.
+
+        An instance that has started since can't read that order any more.
+        """
+        if not step.version:
+            return
+        version = self.order.version
+        found = version_choice.follow(
+            step.serving, step.version, step.phase, (), version
+        )
+        self.serving = version_choice.merge(self.serving, found, version)
+
     def _is_behind(self, step):
         """Return whether a step is of a past that the roll-out has left.
 
@@ -333,3 +368,29 @@
             version=self.order.version,
             serving=self.serving,
         )
+
+
+def begin(order, now, first_share, settled):
+    """Return the ``Rollout`` of a service's first order.
+
+    ``settled`` are the versions that served before it, () if not known.
+    """
+    served = set(settled) - {order.version}
+    serving = version_choice.make_serving(served, (), order.version)
+    return Rollout(order, now, first_share, serving)
+
+
+def follow(before, order, now, first_share, listed):
+    """Return the ``Rollout`` of an order that comes after another one.
+
+    ``listed`` are the versions that have servers now.
+    """
+    serving = version_choice.follow(
+        before.serving, before.order.version, before.phase, listed,
+        order.version,
+    )  # fmt: skip
+    made = Rollout(order, now, first_share, serving)
+    is_running = before.phase is rollout_records.Phase.RUNNING
+    if is_running and before.order.version == order.version:
+        made.resume(before)
+    return made
--- a/tests/test_log_cache.py
+++ b/tests/test_log_cache.py
@@ -394,6 +394,11 @@
         self.servers = {}
         self.at = None
 
+    def is_outdated(self, entry):
+        return False
+
+    is_unconfirmed = is_outdated
+
     def apply(self, entry):
         if entry.state == 'leaving' and self.at is None:
             self.at = self._timer.now()
