Own interface: a router that has restarted asks for its sessions' versions

What is missing: after a planned restart, a router that owns a session's pin took the session for a new one. In a roll-out its next answer could come from another version, although two more routers had a copy of the pin.

Change: within ten minutes of its start an owner without a pin asks the next in rank, which hold the copies, before it decides. Each asks only those after it, so that no two wait for each other.

--- a/arbutuschute/daemon.py
+++ b/arbutuschute/daemon.py
@@ -186,6 +186,7 @@
         lambda session, version: agreement.is_pin_usable(
             environment, session, version
         ),
+        environment.timer.now,
     )
 
 
--- a/arbutuschute/ledgers/pins.py
+++ b/arbutuschute/ledgers/pins.py
@@ -2,7 +2,8 @@
 
 Callers that return a signed token carry the pin themselves. For callers
 that only name a session, the live router that ranks first for the session
-owns the pin and copies it to the next in rank.
+owns the pin and copies it to the next in rank. One that has started lately
+asks them before it takes a session for a new one.
 """
 
 import asyncio
@@ -21,6 +22,8 @@
 MAX_PINS = 100_000
 COPIES_PER_PIN = 2
 TOKEN_VERSION = 'v1'
+# Sessions with longer pauses are rare.
+RECENT_START_S = 600.0
 
 
 class Token(msgspec.Struct, frozen=True, array_like=True):
@@ -62,15 +65,22 @@
     __slots__ = (
         '_identity',
         '_is_usable',
+        '_now',
         '_rank_owners',
+        '_responding',
         '_send',
         '_sequence',
+        '_started_at',
         '_waiting',
         'held',
     )
 
-    def __init__(self, identity, send, rank_owners, is_usable):
+    def __init__(self, identity, send, rank_owners, is_usable, now):
         self._identity = identity
+        self._now = now
+        self._started_at = now()
+        # Tasks that find out what to respond.
+        self._responding = set()
         self._send = send
         self._rank_owners = rank_owners
         self._is_usable = is_usable
@@ -90,13 +100,33 @@
             return known
         for owner in self._rank_owners(session)[:COPIES_PER_PIN]:
             if owner == self._identity[0]:
-                return self.decide(session, proposal)
+                return await self._decide_owned(session, proposal)
             version = await self._query_owner(owner, session, proposal)
             if version is not None:
                 self._store(session, version)
                 return version
         return self.decide(session, proposal)
 
+    async def _decide_owned(self, session, proposal):
+        """Decide, after asking for what was known before this start."""
+        if not self._may_be_lost(session):
+            return self.decide(session, proposal)
+        ranked = self._rank_owners(session)[: COPIES_PER_PIN + 1]
+        own = self._identity[0]
+        following = ranked[ranked.index(own) + 1 :] if own in ranked else ()
+        for name in following:
+            version = await self._query_owner(name, session, proposal)
+            if version is not None:
+                return self.decide(session, version)
+        return self.decide(session, proposal)
+
+    def _may_be_lost(self, session):
+        """Return whether others may know a pin that this process doesn't."""
+        return (
+            session not in self.held
+            and self._now() - self._started_at < RECENT_START_S
+        )
+
     def decide(self, session, proposal):
         """Return the version of an owned session, pinned to ``proposal``.
 
@@ -121,7 +151,13 @@
     def handle_message(self, message):
         """Handle a peer's pin request, response or copy."""
         if isinstance(message, messages.PinRequest):
-            self._respond(message)
+            if self._may_be_lost(message.session):
+                task = asyncio.ensure_future(self._respond_later(message))
+                self._responding.add(task)
+                task.add_done_callback(self._responding.discard)
+                return
+            version = self.decide(message.session, message.proposal)
+            self._respond(message, version)
         elif isinstance(message, messages.PinResponse):
             waiting = self._waiting.get(message.seq)
             if waiting and not waiting.done():
@@ -129,14 +165,18 @@
         else:
             self._store(message.session, message.version)
 
-    def _respond(self, message):
+    async def _respond_later(self, message):
+        version = await self._decide_owned(message.session, message.proposal)
+        self._respond(message, version)
+
+    def _respond(self, message, version):
         sender, incarnation = self._identity
         response = messages.PinResponse(
             sender=sender,
             incarnation=incarnation,
             seq=message.seq,
             session=message.session,
-            version=self.decide(message.session, message.proposal),
+            version=version,
         )
         self._send(message.sender, response)
 
