Orders: the end of the order before may be read after the next one

What is missing: an order that is read before the completion of the one before took the completed version for one that was set aside, and sent requests to servers that had been stopped, until the announcement was read.

Cause: what serves was taken from the last step read, without regard to what may be on its way.

Evidence: test_end_of_the_order_before_may_be_read_later; by reading.

Change: at the last step a version has all requests and isn't set aside by the next order. A step of the order before that is read later still counts: its completion, or its rollback, which rejects the version. A record that names what served goes before what this instance had derived.

The decisions on steps move to rollout_decision.py.

--- a/arbutuschute/policy/canary.py
+++ b/arbutuschute/policy/canary.py
@@ -102,7 +102,9 @@
         share = compute_first_share(servers)
         known = self.by_service.get(order.service)
         if known is None:
-            made = rollout_state.begin(order, self._now(), share, settled)
+            made = rollout_state.begin(
+                order, self._now(), share, listed, settled
+            )
         else:
             made = rollout_state.follow(
                 known, order, self._now(), share, listed
@@ -138,8 +140,8 @@
             )
             return None
         if rollout.order.offset != record.order:
-            if isinstance(record, rollout_records.Step):
-                rollout.apply_replaced(record)
+            if isinstance(record, rollout_records.Step) and record.version:
+                self._apply_replaced(rollout, record)
             return None
         if isinstance(record, rollout_records.Sessions):
             rollout.lists.apply(record, record.instance == self._name)
@@ -149,6 +151,12 @@
             self.rejected.add((record.service, rollout.order.version))
         return rollout
 
+    def _apply_replaced(self, rollout, step):
+        rollout.apply_replaced(step)
+        is_ordered = step.version == rollout.order.version
+        if step.phase is rollout_records.Phase.ROLLED_BACK and not is_ordered:
+            self.rejected.add((step.service, step.version))
+
     def _apply_stop_record(self, record):
         """Add the sessions of an instance that stopped to its roll-out's."""
         rollout = self.by_service.get(record.service)
@@ -231,11 +239,11 @@
         ``live`` are all of the service's, ``servers`` those to choose from. A
         share that no live server can serve does not count.
         """
-
-        def is_usable(server):
-            return (service, server.entry.version) not in self.rejected
-
-        usable = [server for server in servers if is_usable(server)]
+        usable = [
+            server
+            for server in servers
+            if (service, server.entry.version) not in self.rejected
+        ]
         rollout = self.by_service.get(service)
         if rollout is None:
             return usable
@@ -246,6 +254,4 @@
             seen = self._memory.find((service, key))
             if seen is None:
                 seen = rollout.lists.find(service, key)
-        return choice.select(
-            usable, [s for s in live if is_usable(s)], position, seen
-        )
+        return choice.select(usable, live, position, seen)
--- a/arbutuschute/policy/rollout_state.py
+++ b/arbutuschute/policy/rollout_state.py
@@ -1,6 +1,7 @@
-"""The state of one roll-out that an operator ordered: its step and its end."""
+"""The state of one roll-out that an operator ordered, as the log has it."""
 
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_decision
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import sessions
 from arbutuschute.policy import version_choice
@@ -14,12 +15,6 @@
 MAX_BEGIN_SHARE = 0.2
 # A step takes effect once every instance has read it; they read every 1.2 s.
 EFFECT_DELAY_S = 1.6
-# Part of the roll-out's time after which sessions may move to the new version.
-RAMP_FROM = 0.5
-# Part of the roll-out's time that a step lasts at least, to show a fault.
-STEP_TIME = 0.07
-# Part of the roll-out's time by which it is completed or rolled back.
-END_BY = 0.9
 
 
 class Rollout:
@@ -27,6 +22,7 @@
 
     __slots__ = (
         '_effect_after_s',
+        '_listed',
         'comparison',
         'ended_at',
         'first_share',
@@ -42,8 +38,11 @@
     )
 
     def __init__(self, order, now, first_share=rollout_records.SHARES[0],
-                 serving=rollout_records.UNKNOWN_SERVING):  # fmt: skip
+                 serving=rollout_records.UNKNOWN_SERVING,
+                 listed=()):  # fmt: skip
         self.order = order
+        # The versions that had servers when the order was read.
+        self._listed = listed
         self.first_share = first_share
         self.serving = serving
         self.phase = rollout_records.Phase.RUNNING
@@ -111,7 +110,8 @@
         if self.phase is not rollout_records.Phase.RUNNING:
             return False
         if self.is_return:
-            return now - self.started_at < RAMP_FROM * self.order.duration_s
+            ramp_s = rollout_decision.RAMP_FROM * self.order.duration_s
+            return now - self.started_at < ramp_s
         return not self.find_step(now)
 
     @property
@@ -236,17 +236,18 @@
             self._effect_after_s = record.elapsed_s + EFFECT_DELAY_S
 
     def apply_replaced(self, step):
-        """Learn what served from a step of the order before.
+        """Learn what served from the last step of the order before.
 
-        An instance that has started since can't read that order any more.
+        This instance hadn't read it, or has started since and can't read that
+        order any more.
         """
-        if not step.version:
-            return
-        version = self.order.version
         found = version_choice.follow(
-            step.serving, step.version, step.phase, (), version
+            step.serving, step.version, step.phase, step.number,
+            self._listed, self.order.version,
+        )  # fmt: skip
+        self.serving = version_choice.merge(
+            self.serving, found, self.order.version
         )
-        self.serving = version_choice.merge(self.serving, found, version)
 
     def _is_behind(self, step):
         """Return whether a step is of a past that the roll-out has left.
@@ -304,58 +305,8 @@
         ``old_idle`` is whether this instance has nothing in flight at another
         version, ``has_old`` whether there is one to go back to.
         """
-        elapsed = now - self.started_at
-        if not self.is_announced:
-            return self._make_step(self.number, self.phase, elapsed)
-        if self.phase is not rollout_records.Phase.RUNNING:
-            return None
-        if self.is_return:
-            return self._decide_return(elapsed, old_idle)
-        if self.comparison.is_bad(instance):
-            return self._make_step(
-                self.number, rollout_records.Phase.ROLLED_BACK, elapsed
-            )
-        if elapsed < RAMP_FROM * self.order.duration_s:
-            return None
-        is_last_step = self.number + 1 == len(rollout_records.SHARES)
-        if not self.comparison.may_advance(instance, is_last_step):
-            return self._decide_without_trials(elapsed, has_old)
-        return self._decide_advance(now, elapsed, old_idle)
-
-    def _decide_without_trials(self, elapsed, has_old):
-        """Decide on a version that was not tried enough, or is a suspect."""
-        if elapsed < END_BY * self.order.duration_s:
-            return None
-        phase = (
-            rollout_records.Phase.ROLLED_BACK
-            if has_old
-            else rollout_records.Phase.COMPLETED
-        )
-        return self._make_step(self.number, phase, elapsed)
-
-    def _decide_advance(self, now, elapsed, old_idle):
-        duration = self.order.duration_s
-        if now - self.stepped_at < STEP_TIME * duration:
-            return None
-        if self.number + 1 < len(rollout_records.SHARES):
-            return self._make_step(
-                self.number + 1, rollout_records.Phase.RUNNING, elapsed
-            )
-        if old_idle or elapsed >= END_BY * duration:
-            return self._make_step(
-                self.number, rollout_records.Phase.COMPLETED, elapsed
-            )
-        return None
-
-    def _decide_return(self, elapsed, old_idle):
-        """Complete a return once the sessions of other versions have moved."""
-        duration = self.order.duration_s
-        is_left = old_idle and elapsed >= (RAMP_FROM + STEP_TIME) * duration
-        if not is_left and elapsed < END_BY * duration:
-            return None
-        return self._make_step(
-            self.number, rollout_records.Phase.COMPLETED, elapsed
-        )
+        found = rollout_decision.decide(self, instance, now, old_idle, has_old)
+        return found and self._make_step(*found, now - self.started_at)
 
     def _make_step(self, number, phase, elapsed):
         return rollout_records.Step(
@@ -370,26 +321,24 @@
         )
 
 
-def begin(order, now, first_share, settled):
+def begin(order, now, first_share, listed, settled):
     """Return the ``Rollout`` of a service's first order.
 
-    ``settled`` are the versions that served before it, () if not known.
+    ``listed`` are the versions that have servers now, ``settled`` those that
+    served before the order, () if not known.
     """
     served = set(settled) - {order.version}
     serving = version_choice.make_serving(served, (), order.version)
-    return Rollout(order, now, first_share, serving)
+    return Rollout(order, now, first_share, serving, listed)
 
 
 def follow(before, order, now, first_share, listed):
-    """Return the ``Rollout`` of an order that comes after another one.
-
-    ``listed`` are the versions that have servers now.
-    """
+    """Return the ``Rollout`` of an order that comes after another one."""
     serving = version_choice.follow(
-        before.serving, before.order.version, before.phase, listed,
-        order.version,
+        before.serving, before.order.version, before.phase, before.number,
+        listed, order.version,
     )  # fmt: skip
-    made = Rollout(order, now, first_share, serving)
+    made = Rollout(order, now, first_share, serving, listed)
     is_running = before.phase is rollout_records.Phase.RUNNING
     if is_running and before.order.version == order.version:
         made.resume(before)
--- a/arbutuschute/policy/version_choice.py
+++ b/arbutuschute/policy/version_choice.py
@@ -20,33 +20,37 @@
     SET_ASIDE = 'set-aside'
 
 
-def follow(serving, version, phase, listed, next_version):
+def follow(serving, version, phase, number, listed, next_version):
     """Return the ``Serving`` of the order after one.
 
-    That one had ``serving``, ordered ``version`` and has come to ``phase``;
-    ``listed`` are the versions that have servers now.
+    That one had ``serving``, ordered ``version`` and has come to ``phase`` and
+    to the step ``number``; ``listed`` are the versions that have servers now.
     """
     if phase is rollout_records.Phase.COMPLETED:
         # What had served before has been stopped.
-        served = (version,)
-        set_aside = set(listed) - {version}
-    else:
-        served = serving.versions
-        set_aside = {*serving.set_aside, version} - set(served)
-    return make_serving(served, set_aside, next_version)
+        return make_serving((version,), listed, next_version)
+    set_aside = set(serving.set_aside)
+    # At the last step all requests use the new version, and the end of the
+    # roll-out may not have been read yet.
+    is_last_step = number + 1 == len(rollout_records.SHARES)
+    if phase is rollout_records.Phase.ROLLED_BACK or not is_last_step:
+        set_aside.add(version)
+    return make_serving(serving.versions, set_aside, next_version)
 
 
 def make_serving(versions, set_aside, version):
     """Return the ``Serving`` of an order of ``version``."""
     return rollout_records.Serving(
-        tuple(sorted(versions)), tuple(sorted(set(set_aside) - {version}))
+        tuple(sorted(versions)),
+        tuple(sorted({*set_aside} - {*versions, version})),
     )
 
 
 def merge(own, record, version):
-    """Return what is known of an order's ``Serving`` after its record.
+    """Return what is known of an order's ``Serving`` after a record.
 
-    The first record that names what served holds for all instances.
+    A record that names what served holds for all instances: its writer had
+    read all records before.
     """
     return make_serving(
         record.versions or own.versions,
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -9,6 +9,7 @@
 from arbutuschute.policy import baseline
 from arbutuschute.policy import canary
 from arbutuschute.policy import comparison
+from arbutuschute.policy import rollout_decision
 from arbutuschute.policy import rollout_records
 from arbutuschute.policy import rollout_state
 
@@ -374,7 +375,7 @@
     rollout = make_compared(8, 10)
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 12.0, True) is None
-    step = rollout.decide('i', rollout_state.END_BY * 15.0, True)
+    step = rollout.decide('i', rollout_decision.END_BY * 15.0, True)
     assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
@@ -400,7 +401,7 @@
     rollout = make_failing(*new, *old)
     assert not rollout.comparison.is_bad('i')
     assert rollout.decide('i', 15.0, True) is None
-    step = rollout.decide('i', rollout_state.END_BY * 24.0, True)
+    step = rollout.decide('i', rollout_decision.END_BY * 24.0, True)
     assert step.phase is rollout_records.Phase.ROLLED_BACK
 
 
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -3,8 +3,8 @@
 import pytest
 
 from arbutuschute.policy import canary
+from arbutuschute.policy import rollout_decision
 from arbutuschute.policy import rollout_records
-from arbutuschute.policy import rollout_state
 from arbutuschute.policy import version_choice
 from tests import test_canary
 
@@ -77,29 +77,32 @@
 
 
 @pytest.mark.parametrize(
-    ('before', 'ordered', 'phase', 'following', 'expected'),
+    ('before', 'ordered', 'phase', 'number', 'following', 'expected'),
     [
         # Back to what serves, to a third one, the same again.
-        ((('v1',), ()), 'v2', RUNNING, 'v1', (('v1',), ('v2',))),
-        ((('v1',), ()), 'v2', RUNNING, 'v3', (('v1',), ('v2',))),
-        ((('v1',), ()), 'v2', RUNNING, 'v2', (('v1',), ())),
-        ((('v1',), ()), 'v2', ROLLED_BACK, 'v3', (('v1',), ('v2',))),
-        ((('v1',), ()), 'v2', COMPLETED, 'v3', (('v2',), ('v1',))),
-        ((('v1',), ()), 'v2', COMPLETED, 'v1', (('v2',), ())),
-        ((('v1',), ('v2',)), 'v3', RUNNING, 'v2', (('v1',), ('v3',))),
+        ((('v1',), ()), 'v2', RUNNING, 0, 'v1', (('v1',), ('v2',))),
+        ((('v1',), ()), 'v2', RUNNING, 0, 'v3', (('v1',), ('v2',))),
+        ((('v1',), ()), 'v2', RUNNING, 0, 'v2', (('v1',), ())),
+        ((('v1',), ()), 'v2', ROLLED_BACK, 0, 'v3', (('v1',), ('v2',))),
+        ((('v1',), ()), 'v2', COMPLETED, 2, 'v3', (('v2',), ('v1',))),
+        ((('v1',), ()), 'v2', COMPLETED, 2, 'v1', (('v2',), ())),
+        ((('v1',), ('v2',)), 'v3', RUNNING, 0, 'v2', (('v1',), ('v3',))),
+        # At the last step of the order before, whose end may be unread.
+        ((('v1',), ()), 'v2', RUNNING, 2, 'v3', (('v1',), ())),
+        ((('v1',), ()), 'v2', ROLLED_BACK, 2, 'v3', (('v1',), ('v2',))),
         # The order back is itself followed by another one.
-        ((('v1',), ('v2',)), 'v1', RUNNING, 'v2', (('v1',), ())),
-        ((('v1',), ('v2',)), 'v1', COMPLETED, 'v3', (('v1',), ('v2',))),
+        ((('v1',), ('v2',)), 'v1', RUNNING, 0, 'v2', (('v1',), ())),
+        ((('v1',), ('v2',)), 'v1', COMPLETED, 2, 'v3', (('v1',), ('v2',))),
         # What served isn't known.
-        (((), ()), 'v2', RUNNING, 'v1', ((), ('v2',))),
+        (((), ()), 'v2', RUNNING, 0, 'v1', ((), ('v2',))),
     ],
 )
 def test_serving_follows_from_the_order_before(
-    before, ordered, phase, following, expected
+    before, ordered, phase, number, following, expected
 ):
     found = version_choice.follow(
-        rollout_records.Serving(*before), ordered, phase, ('v1', 'v2'),
-        following,
+        rollout_records.Serving(*before), ordered, phase, number,
+        ('v1', 'v2'), following,
     )  # fmt: skip
     assert found == rollout_records.Serving(*expected)
 
@@ -211,7 +214,7 @@
         assert fleet.count('a', 'v1') == 300
     rollout = one.by_service['s']
     assert rollout.phase is COMPLETED
-    assert fleet.clock.time > 2.0 + rollout_state.RAMP_FROM * DURATION_S
+    assert fleet.clock.time > 2.0 + rollout_decision.RAMP_FROM * DURATION_S
 
 
 def test_order_back_is_not_completed_while_requests_run_elsewhere():
@@ -282,7 +285,7 @@
     fleet.order('v1', settled=())
     fleet.announce('a')
     rollout = fleet.known['a'].by_service['s']
-    end = rollout_state.END_BY * DURATION_S
+    end = rollout_decision.END_BY * DURATION_S
     assert rollout.decide('a', end, True, has_old=False).phase is COMPLETED
     assert rollout.decide('a', end, True, has_old=True).phase is ROLLED_BACK
 
@@ -299,3 +302,37 @@
     one.apply(rollout_records.decode(raw))
     assert one.by_service['s'].serving.versions == ('v1',)
     assert fleet.announce('a').serving.versions == ('v1',)
+
+
+# An order that is read before the end of the one before it.
+@pytest.mark.parametrize(
+    ('phase', 'serving', 'version'),
+    [
+        (COMPLETED, (('v2',), ('v1',)), 'v2'),
+        (ROLLED_BACK, (('v1',), ('v2',)), 'v1'),
+    ],
+)
+def test_end_of_the_order_before_may_be_read_later(phase, serving, version):
+    fleet = Instances('a', 'b')
+    fleet.order('v2')
+    fleet.announce('a')
+    fleet.clock.time += 0.8 * DURATION_S
+    last = rollout_records.Step(
+        1, 's', 2, RUNNING, 14.0, version='v2',
+        serving=rollout_records.Serving(('v1',)),
+    )  # fmt: skip
+    end = rollout_records.Step(
+        1, 's', 2, phase, 18.0, version='v2',
+        serving=rollout_records.Serving(('v1',)),
+    )  # fmt: skip
+    for one in fleet.known.values():
+        one.apply(last)
+    fleet.known['b'].apply(end)
+    fleet.order('v3')
+    assert fleet.count('a', 'v3') == 0
+    fleet.known['a'].apply(end)
+    for name in 'ab':
+        assert fleet.count(name, version) == 300
+        found = fleet.known[name].by_service['s'].serving
+        assert found == rollout_records.Serving(*serving)
+    assert fleet.announce('a').serving == rollout_records.Serving(*serving)
