--- a/arbutuschute/policy/version_choice.py
+++ b/arbutuschute/policy/version_choice.py
@@ -110,7 +110,7 @@
         if group is Group.SET_ASIDE:
             if found := [s for s in usable if s.entry.version == seen]:
                 return found
-            group = self.choose_group(position, None)
+            group = Group.OLD  # It has been rolled back, or is gone.
         if group is Group.OLD:
             order = (Group.OLD, Group.NEW)
         else:
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -58,6 +58,8 @@
         ('v1 v2 v3', 'v1 v2 v3', 0.5, None, 'v1'),
         ('v1 v2 v3', 'v1 v2 v3', 0.5, 'v2', 'v2'),
         ('v1 v3', 'v1 v3', 0.5, 'v2', 'v1'),
+        # A session of a version that was rolled back is not a new one.
+        ('v1 v3', 'v1 v3', 0.01, 'v2', 'v1'),
         ('v2 v3', 'v2 v3', 0.5, None, 'v3'),
         ('v2 v3', 'v1 v2 v3', 0.5, None, ''),
         ('v1 v2', 'v1 v2', 0.01, None, 'v1'),
