--- a/arbutuschute/platform/session_lists.py
+++ b/arbutuschute/platform/session_lists.py
@@ -1,9 +1,10 @@
-"""The task that lists sessions for other instances, see ``policy``."""
+"""Lists this instance's sessions for the others, see ``policy.sessions``."""
 
 import asyncio
 
 from returns import result
 
+from arbutuschute.platform import retries
 from arbutuschute.platform import rollouts as rollout_topic
 from arbutuschute.policy import backoff
 from arbutuschute.policy import rollout_records
@@ -60,15 +61,7 @@
             await self._has_order.wait()
             return
         seconds += SPREAD_S * self._random.random()
-        tasks = [
-            asyncio.ensure_future(wait)
-            for wait in (self._timer.sleep(seconds), self._has_order.wait())
-        ]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in tasks:
-                task.cancel()
+        await retries.wait_for_any(self._timer, seconds, (self._has_order,))
 
     def _find_pause_s(self):
         """Return the seconds until the next list is due, None if none is."""
