Use servers that return after a start at once

Cause: an instance that starts waited for a second entry of each server that it doesn't know, as the store may write an old entry late.

--- a/arbutuschute/machines/servers.py
+++ b/arbutuschute/machines/servers.py
@@ -17,6 +17,8 @@
 # A server's first entries. One that is first heard of by a later entry has
 # been known to others.
 FIRST_ENTRIES = 2
+# After a start, entries that have lapsed meanwhile come back within this time.
+START_S = 5.0
 COLD_CHECK_PERIOD_S = 0.5
 
 
@@ -142,10 +144,11 @@
     """
 
     __slots__ = ('_defer_until', '_deferred', '_gone', '_held_back', '_now',
-                 'by_service', 'servers')  # fmt: skip
+                 '_started_at', 'by_service', 'servers')  # fmt: skip
 
     def __init__(self, now):
         self._now = now
+        self._started_at = now()
         self._deferred = {}
         # The last entries of servers that are gone, oldest first.
         self._gone = {}
@@ -175,11 +178,13 @@
 
         This instance may have started after the server was gone. A newer
         entry shows that the server is alive. Without another server of its
-        service, and after an outage, it is taken to be.
+        service, and shortly after a start or an outage, it is taken to be.
         """
         if entry.name in self.servers or entry.name in self._gone:
             return False
-        if entry.sequence <= FIRST_ENTRIES or self._now() < self._defer_until:
+        if entry.sequence <= FIRST_ENTRIES:
+            return False
+        if self._now() < max(self._started_at + START_S, self._defer_until):
             return False
         held, _ = self._held_back.get(entry.name, (None, None))
         if held is not None and held.age_rank < entry.age_rank:
